--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,45 @@
+#include "experiment.h"
+
+#include <array>
+#include <iostream>
+#include <string>
+
+namespace boragebridge::bench {
+
+static auto runVersion(int, char **) -> int {
+  std::cout << "boragebench " BORAGEBRIDGE_VERSION "\n";
+  return 0;
+}
+
+static constexpr std::array Experiments{
+    Experiment{"--version", "print the version", runVersion},
+};
+
+static auto printUsage(std::ostream &out) -> void {
+  out << "usage: boragebench EXPERIMENT [OPTIONS]\n\n";
+  for (const auto &it : Experiments)
+    out << "  " << it.Name << std::string(14 - it.Name.size(), ' ') << it.Help
+        << '\n';
+  out << "\nEach experiment has --help.\n";
+}
+
+static auto run(int argc, char **argv) -> int {
+  constexpr int UsageError = 2;
+  const std::string_view name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "-h") {
+    printUsage(std::cout);
+    return 0;
+  }
+  for (const auto &it : Experiments)
+    if (it.Name == name)
+      return it.Run(argc - 1, argv + 1);
+  std::cerr << "boragebench: no experiment '" << name << "'\n";
+  printUsage(std::cerr);
+  return UsageError;
+}
+
+} // namespace boragebridge::bench
+
+auto main(int argc, char **argv) -> int {
+  return boragebridge::bench::run(argc, argv);
+}
--- /dev/null
+++ b/src/fakes/fake_network.h
@@ -0,0 +1,92 @@
+/// \file
+/// The links between instances, as a fake on a manual clock: delay, loss,
+/// partitions, paused instances, and the bytes that each instance sent.
+#ifndef BORAGEBRIDGE_FAKES_FAKE_NETWORK_H
+#define BORAGEBRIDGE_FAKES_FAKE_NETWORK_H
+
+#include "boragebridge/clock.h"
+#include "boragebridge/peer_link.h"
+#include "boragebridge/random.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace boragebridge::fakes {
+
+/// Carries frames and any other delayed call. Not thread-safe.
+class FakeNetwork {
+public:
+  /// Bytes of framing counted for each frame besides its body.
+  static constexpr std::size_t FrameOverhead = 32;
+
+  FakeNetwork(ManualClock &clock, std::uint64_t seed);
+  FakeNetwork(const FakeNetwork &) = delete;
+  auto operator=(const FakeNetwork &) -> FakeNetwork & = delete;
+  ~FakeNetwork();
+
+  /// Receives the frames that arrive at one endpoint; false cuts the sender
+  /// off (counted in cutConnections()).
+  using Receiver = std::function<bool(const PeerFrame &)>;
+
+  /// Makes the link of the instance that listens at \p self and is in \p dc.
+  auto attach(const Endpoint &self, InstanceId id, Incarnation inc,
+              DataCentreId dc, Receiver to) -> std::unique_ptr<PeerLink>;
+  /// The instance at \p self is gone; frames to it are lost.
+  auto detach(const Endpoint &self) -> void;
+  /// A paused instance gets its frames when it is resumed.
+  auto setPaused(const Endpoint &self, bool paused) -> void;
+
+  /// One-way delay within a data centre and between two of them.
+  auto setDelays(Duration local, Duration remote) -> void;
+  /// Share of frames that is lost, from 0 to 1.
+  auto setLoss(double share) -> void { Loss = share; }
+  /// Cuts or heals the way between two data centres, both directions.
+  auto setCut(DataCentreId a, DataCentreId b, bool cut) -> void;
+  /// Cuts or heals the way between two instances, both directions.
+  auto setCut(const Endpoint &a, const Endpoint &b, bool cut) -> void;
+
+  /// Calls \p f after \p d; the general timer of the fakes.
+  auto after(Duration d, std::function<void()> f) -> void;
+  /// Delivers everything that is due at the clock's time.
+  auto deliver() -> void;
+
+  /// Bytes that the instance at \p self has sent, with framing.
+  auto bytesSent(const Endpoint &self) const -> std::uint64_t;
+  auto framesSent() const -> std::uint64_t { return Frames; }
+  auto cutConnections() const -> std::uint64_t { return CutConnections; }
+
+private:
+  class Link;
+  struct Node {
+    InstanceId Id{};
+    Incarnation Number{};
+    DataCentreId DataCentre{};
+    Receiver To;
+    bool Paused = false;
+    std::vector<PeerFrame> Held;
+  };
+
+  auto transmit(const Endpoint &from, const Endpoint &to, PeerFrame f) -> void;
+  auto arrive(const Endpoint &to, PeerFrame f) -> void;
+  auto isCut(const Endpoint &a, const Endpoint &b) const -> bool;
+
+  ManualClock &Time;
+  SeededRandom Random;
+  Duration LocalDelay = std::chrono::microseconds(200);
+  Duration RemoteDelay = std::chrono::microseconds(1500);
+  double Loss = 0;
+  std::map<Endpoint, Node> Nodes;
+  std::set<std::pair<DataCentreId, DataCentreId>> CutDataCentres;
+  std::set<std::pair<Endpoint, Endpoint>> CutInstances;
+  std::multimap<TimePoint, std::function<void()>> Due;
+  std::unordered_map<Endpoint, std::uint64_t> Sent;
+  std::uint64_t Frames = 0;
+  std::uint64_t CutConnections = 0;
+};
+
+} // namespace boragebridge::fakes
+
+#endif
