--- /dev/null
+++ b/src/logging/process_events.h
@@ -0,0 +1,19 @@
+/// \file
+/// Log events that every process shares.
+#ifndef BORAGEBRIDGE_LOGGING_PROCESS_EVENTS_H
+#define BORAGEBRIDGE_LOGGING_PROCESS_EVENTS_H
+
+#include "boragebridge/event_log.h"
+
+namespace boragebridge::events {
+
+inline constexpr LogEvent ProcessStarted{5000, Severity::Info,
+                                         "process_started"};
+inline constexpr LogEvent ProcessStopping{5001, Severity::Info,
+                                          "process_stopping"};
+inline constexpr LogEvent ProcessStopped{5002, Severity::Info,
+                                         "process_stopped"};
+
+} // namespace boragebridge::events
+
+#endif
