--- /dev/null
+++ b/fuzz/fuzz_target.h
@@ -0,0 +1,27 @@
+/// \file
+/// What every fuzz target shares. A target is one file that defines runOne();
+/// libFuzzer calls it with inputs of its own making. `tools/fuzz` builds and
+/// runs all targets.
+#ifndef BORAGEBRIDGE_FUZZ_FUZZ_TARGET_H
+#define BORAGEBRIDGE_FUZZ_FUZZ_TARGET_H
+
+#include "boragebridge/types.h"
+
+#include <algorithm>
+
+namespace boragebridge::fuzz {
+
+/// Tries one input. Any abort, sanitizer report or exception is a finding.
+auto runOne(ByteView data) -> void;
+
+/// \p data as text.
+inline auto toText(ByteView data) -> std::string {
+  std::string s(data.size(), '\0');
+  std::transform(data.begin(), data.end(), s.begin(),
+                 [](std::byte b) { return static_cast<char>(b); });
+  return s;
+}
+
+} // namespace boragebridge::fuzz
+
+#endif
