Add placement of flows: generations, homes, mirrors, hand-over

Cause: any instance gets any packet of a flow, while upstreams, instances and weights change; a stateless choice breaks the flows of each slot that moves. Change: slots with exact shares by weighted rendezvous, generations that are announced, acknowledged and then activated, and a home for each slot that a generation moves, which tells old flows from new ones. An instance that was paused or cut off trusts no table until a peer that is up to date answers it. A flow whose upstream is not known is tried: an upstream's reset of a flow that it does not know is kept from the caller and the next one is tried.

--- /dev/null
+++ b/src/flow/placement_rounds.cpp
@@ -0,0 +1,206 @@
+// The proposer's side of PlacementAgreement.
+#include "flow/flow_events.h"
+#include "flow/placement_agreement.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+auto PlacementAgreement::tickRound(TimePoint now) -> void {
+  constexpr auto ResendInterval = std::chrono::milliseconds(300);
+  if (!InFlight)
+    return;
+  std::size_t missing = 0;
+  const auto resend = now - InFlight->LastSent >= ResendInterval;
+  for (const auto &p : Members.participants()) {
+    if (p.Id == Context.Self.Id || InFlight->Acknowledged.contains(p.Id))
+      continue;
+    ++missing;
+    if (resend)
+      sendAnnouncement(p);
+  }
+  if (resend)
+    InFlight->LastSent = now;
+  const auto age = now - InFlight->Since;
+  if (missing > 0 && age < Options.AckTimeout)
+    return;
+  if (age < InFlight->Delay)
+    return;
+  if (missing > 0) {
+    Unacknowledged.add();
+    Context.Log.write(events::GenerationUnacknowledged,
+                      {{"counter", std::to_string(InFlight->Id.Counter)},
+                       {"missing", std::to_string(missing)}});
+  }
+  const auto id = InFlight->Id;
+  InFlight.reset();
+  activateAll(id, now);
+  Messenger.sendAll(Members.participants(), FlowMessage::Activate,
+                    ActivateMessage{id});
+  Context.Log.write(events::GenerationActivated,
+                    {{"counter", std::to_string(id.Counter)}});
+}
+
+auto PlacementAgreement::tickProposer(TimePoint now) -> void {
+  constexpr auto LookInterval = std::chrono::milliseconds(1000);
+  constexpr auto LeastInterval = std::chrono::milliseconds(100);
+  if (!Context.Board.Readiness.read()->MayServe)
+    return;
+  const auto cfgVersion = Context.Board.Configuration.version();
+  const auto healthVersion = Context.Board.Health.version();
+  if (cfgVersion != QuarantineVersion) {
+    QuarantineVersion = cfgVersion;
+    Quarantine.update(*Context.Board.Configuration.read(), now);
+  }
+  const auto moved =
+      cfgVersion != SeenConfiguration || healthVersion != SeenHealth;
+  if (now - LastLook < (moved ? Duration(LeastInterval) : LookInterval))
+    return;
+  LastLook = now;
+  SeenConfiguration = cfgVersion;
+  SeenHealth = healthVersion;
+  auto changes = wantedChanges(now);
+  if (changes.empty())
+    return;
+  const auto urgent = std::any_of(changes.begin(), changes.end(),
+                                  [](const Change &c) { return c.Urgent; });
+  // A round in flight is given up only for a change that cannot wait.
+  if (InFlight && !urgent) {
+    SeenConfiguration = 0;
+    return;
+  }
+  startRound(std::move(changes), now);
+}
+
+auto PlacementAgreement::wantedChanges(TimePoint now) -> std::vector<Change> {
+  const auto cfg = Context.Board.Configuration.read();
+  std::vector<Change> changes;
+  for (const auto &[service, all] : groupUpstreams(*cfg)) {
+    if (!Members.isProposer(service))
+      continue;
+    if (auto c = wantedChange(service, all, now); c)
+      changes.push_back(std::move(*c));
+  }
+  return changes;
+}
+
+auto PlacementAgreement::wantedChange(ServiceId service,
+                                      std::span<const Upstream *const> all,
+                                      TimePoint now) -> std::optional<Change> {
+  const auto cfg = Context.Board.Configuration.read();
+  const auto health = Context.Board.Health.read();
+  const auto known = lowestKnownRevision();
+  const auto held = [&](const Upstream &u) {
+    return Quarantine.isHeld(u.Address, known, now);
+  };
+  const auto *p = find(service);
+  const auto *newest = p == nullptr ? nullptr : p->newest();
+  const std::span<const WeightedUpstream> inUse =
+      newest == nullptr ? std::span<const WeightedUpstream>{}
+                        : std::span(newest->Upstreams);
+  // A later revision is in use than this instance has: it has no say yet.
+  if (newest != nullptr && newest->Id.Config > cfg->Number)
+    return std::nullopt;
+  auto wanted =
+      wantedPlacement(*cfg, *health, Context.Self.DataCentre, all, inUse, held);
+  if (newest == nullptr && wanted.Upstreams.empty())
+    return std::nullopt;
+  const auto isSame =
+      newest != nullptr && newest->Upstreams == wanted.Upstreams;
+  if (isSame && p->isNewestActive())
+    return std::nullopt;
+  const auto isFlying =
+      InFlight && newest != nullptr && InFlight->Id == newest->Id;
+  if (isSame && isFlying)
+    return std::nullopt;
+
+  const auto sameSet =
+      newest != nullptr &&
+      std::equal(inUse.begin(), inUse.end(), wanted.Upstreams.begin(),
+                 wanted.Upstreams.end(),
+                 [](const auto &a, const auto &b) { return a.Id == b.Id; });
+  // Weights wait for their turn, and for room in the chain.
+  if (sameSet && !isSame) {
+    auto &last = LastReweight[service];
+    if (now - last < Options.ReweightInterval ||
+        p->chainLength() + 1 >= ServicePlacement::MaxChain)
+      return std::nullopt;
+    last = now;
+  }
+  Change c;
+  c.Service = service;
+  c.Content.Slots =
+      newest != nullptr ? newest->Slots : slotCountFor(wanted.Upstreams.size());
+  c.Content.Upstreams = std::move(wanted.Upstreams);
+  c.Urgent = wanted.Urgent || newest == nullptr || !p->isActive();
+  return c;
+}
+
+auto PlacementAgreement::startRound(std::vector<Change> changes, TimePoint now)
+    -> void {
+  // What an unfinished round was about goes on in this one.
+  if (InFlight)
+    for (auto service : InFlight->Services)
+      if (std::none_of(changes.begin(), changes.end(),
+                       [&](const Change &c) { return c.Service == service; }))
+        changes.push_back({service, *find(service)->newest(), false});
+  Round r;
+  r.Id = {Context.Board.Configuration.read()->Number, HighestCounter + 1,
+          Context.Self.Number};
+  r.Since = now;
+  r.LastSent = now;
+  r.Delay = Options.ActivationDelay;
+  for (auto &c : changes) {
+    c.Content.Id = r.Id;
+    if (c.Urgent)
+      r.Delay = {};
+    r.Services.push_back(c.Service);
+    auto &p = Placements.try_emplace(c.Service, c.Service).first->second;
+    p.add(c.Content);
+    noteChange(p);
+  }
+  InFlight = std::move(r);
+  Announced.add();
+  Context.Log.write(events::GenerationAnnounced,
+                    {{"counter", std::to_string(InFlight->Id.Counter)},
+                     {"services", std::to_string(changes.size())}});
+  for (const auto &p : Members.participants())
+    if (p.Id != Context.Self.Id)
+      sendAnnouncement(p);
+}
+
+auto PlacementAgreement::sendAnnouncement(const Peer &to) -> void {
+  StateMessage m;
+  for (auto service : InFlight->Services)
+    m.Services.push_back(find(service)->state());
+  m.Announced = InFlight->Id;
+  m.Synced = true;
+  Messenger.send(to, FlowMessage::State, m);
+}
+
+auto PlacementAgreement::lowestKnownRevision() const -> Revision {
+  auto lowest = Context.Board.Configuration.read()->Number;
+  for (const auto &p : Members.participants()) {
+    if (p.Id == Context.Self.Id)
+      continue;
+    auto it = KnownRevisions.find(p.Id);
+    lowest =
+        std::min(lowest, it == KnownRevisions.end() ? Revision{} : it->second);
+  }
+  return lowest;
+}
+
+auto PlacementAgreement::tickQuarantine(TimePoint now) -> void {
+  constexpr auto PingInterval = std::chrono::milliseconds(500);
+  if (now - LastPing < PingInterval ||
+      !Quarantine.isPending(lowestKnownRevision(), now))
+    return;
+  LastPing = now;
+  // An announcement of nothing: its answers name the participants' revisions.
+  const GenerationId none{Context.Board.Configuration.read()->Number,
+                          HighestCounter, Context.Self.Number};
+  Messenger.sendAll(Members.participants(), FlowMessage::State,
+                    StateMessage{{}, none, true, 0});
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/flow/service_directory.cpp
@@ -0,0 +1,85 @@
+#include "flow/service_directory.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace boragebridge {
+
+auto ServiceDirectory::tick(TimePoint now) -> void {
+  if (now >= NextChange)
+    rebuild(now);
+  refresh(now);
+}
+
+auto ServiceDirectory::useOf(const Configuration &cfg, const Upstream &u,
+                             TimePoint now) -> TargetUse {
+  if (cfg.isWithdrawn(u.DataCentre))
+    return TargetUse::Gone;
+  if (u.Mode == UpstreamMode::Active) {
+    LeavingSince.erase(u.Id);
+    return TargetUse::Open;
+  }
+  const auto since = LeavingSince.try_emplace(u.Id, now).first->second;
+  const auto until = since + Options.LeavingLimit;
+  if (now >= until)
+    return TargetUse::Leaving;
+  NextChange = std::min(NextChange, until);
+  return TargetUse::Open;
+}
+
+auto ServiceDirectory::rebuild(TimePoint now) -> void {
+  const auto cfg = Context.Board.Configuration.read();
+  if (SeenConfiguration != Context.Board.Configuration.version())
+    Quarantine.update(*cfg, now);
+  SeenConfiguration = Context.Board.Configuration.version();
+  NextChange = TimePoint::max();
+  Upstreams.clear();
+  for (const auto &u : cfg->Upstreams)
+    Upstreams[u.Id] = {u.Service, {u.Address, useOf(*cfg, u, now)}};
+  std::erase_if(LeavingSince, [this](const auto &it) {
+    return !Upstreams.contains(it.first);
+  });
+  Entries.clear();
+  for (const auto &s : cfg->Services) {
+    const auto held = Quarantine.isHeld(s.Address, cfg->Number, now);
+    if (held)
+      NextChange = std::min(NextChange, now + Options.DigestInterval);
+    Entries.push_back({s.Id, s.Address, held, nullptr, {}, 0});
+  }
+  indexEntries();
+  bindPlacements();
+}
+
+auto ServiceDirectory::indexEntries() -> void {
+  Index.assign(std::bit_ceil(Entries.size() * 2 + 2), NoEntry);
+  for (std::uint32_t e = 0; e < Entries.size(); ++e) {
+    auto i = hashOf(Entries[e].Address) & (Index.size() - 1);
+    while (Index[i] != NoEntry)
+      i = (i + 1) & (Index.size() - 1);
+    Index[i] = e;
+  }
+}
+
+auto ServiceDirectory::bindPlacements() -> void {
+  SeenPlacements = Agreement.version();
+  for (auto &e : Entries) {
+    if (e.Placement == nullptr)
+      e.Placement = Agreement.find(e.Service);
+    if (e.Placement == nullptr || e.Placement->version() == e.SeenPlacement)
+      continue;
+    e.SeenPlacement = e.Placement->version();
+    e.Targets.clear();
+    for (auto id : e.Placement->palette())
+      e.Targets.push_back(target(e.Service, id));
+  }
+}
+
+auto ServiceDirectory::target(ServiceId service, UpstreamId id) const
+    -> Target {
+  auto it = Upstreams.find(id);
+  if (it == Upstreams.end() || it->second.Service != service)
+    return {};
+  return it->second.To;
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/flow/service_placement.cpp
@@ -0,0 +1,206 @@
+#include "flow/service_placement.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+auto ServicePlacement::find(const GenerationId &id) const -> std::size_t {
+  auto it = std::find_if(Chain.begin(), Chain.end(),
+                         [&](const Link &k) { return k.Content.Id == id; });
+  return static_cast<std::size_t>(it - Chain.begin());
+}
+
+auto ServicePlacement::newest() const -> const Generation * {
+  return Chain.empty() ? nullptr : &Chain.back().Content;
+}
+
+auto ServicePlacement::upstreamAt(const Link &k, std::uint32_t slot) const
+    -> UpstreamId {
+  return k.Table.empty() ? UpstreamId{} : k.Content.Upstreams[k.Table[slot]].Id;
+}
+
+auto ServicePlacement::add(const Generation &g) -> bool {
+  if (find(g.Id) < Chain.size())
+    return false;
+  if (!Chain.empty() && (g.Id < Chain.front().Content.Id ||
+                         g.Slots != Chain.front().Content.Slots))
+    return false;
+  auto at = std::find_if(Chain.begin(), Chain.end(),
+                         [&](const Link &k) { return g.Id < k.Content.Id; });
+  Chain.insert(at, {g, buildSlotTable(Service, g.Upstreams, g.Slots), {}});
+  if (Chain.size() > MaxChain)
+    Chain.erase(Chain.begin() + (Chain.front().Content.Id == ActiveId ? 1 : 0));
+  if (Chain.size() > 1 && SettledFrom.empty())
+    SettledFrom.resize(g.Slots);
+  rebuild();
+  return true;
+}
+
+auto ServicePlacement::activate(const GenerationId &id, TimePoint now) -> bool {
+  const auto i = find(id);
+  if (i == Chain.size() || id <= ActiveId)
+    return false;
+  ActiveId = id;
+  Chain[i].ActiveSince = now;
+  Chain[i].WasActive = true;
+  rebuild();
+  trim();
+  return true;
+}
+
+auto ServicePlacement::raiseMark(std::uint32_t slot, const GenerationId &id)
+    -> bool {
+  if (slot >= SettledFrom.size() || SettledFrom[slot] >= id)
+    return false;
+  SettledFrom[slot] = id;
+  return true;
+}
+
+auto ServicePlacement::settle(std::span<const std::uint16_t> slots,
+                              const GenerationId &id) -> void {
+  bool moved = false;
+  for (auto slot : slots)
+    moved |= raiseMark(slot, id);
+  if (!moved)
+    return;
+  rebuild();
+  trim();
+}
+
+auto ServicePlacement::mergeMarks(const PlacementState &s) -> bool {
+  bool moved = false;
+  // A peer that has forgotten the older generations of a chain that this one
+  // shares with it has seen them settle.
+  const auto &front = s.Chain.front().Id;
+  const auto shared = find(front) < Chain.size();
+  for (std::uint32_t slot = 0; slot < SettledFrom.size(); ++slot) {
+    const auto mark = slot < s.SettledFrom.size() ? s.SettledFrom[slot] : 0U;
+    if (mark != 0 && mark <= s.Chain.size())
+      moved |= raiseMark(slot, s.Chain[mark - 1].Id);
+    else if (shared)
+      moved |= raiseMark(slot, front);
+  }
+  return moved;
+}
+
+auto ServicePlacement::merge(const PlacementState &s, TimePoint now) -> bool {
+  if (s.Chain.empty())
+    return false;
+  const auto known = !Chain.empty() && find(s.Chain.front().Id) < Chain.size();
+  bool moved = false;
+  for (const auto &g : s.Chain)
+    moved |= add(g);
+  if (!s.Active.isNone())
+    moved |= activate(s.Active, now);
+  if ((known || moved) && mergeMarks(s)) {
+    moved = true;
+    rebuild();
+    trim();
+  }
+  return moved;
+}
+
+auto ServicePlacement::state() const -> PlacementState {
+  PlacementState s{Service, {}, ActiveId, {}};
+  for (const auto &k : Chain)
+    s.Chain.push_back(k.Content);
+  const auto marked =
+      std::any_of(SettledFrom.begin(), SettledFrom.end(),
+                  [](const GenerationId &id) { return !id.isNone(); });
+  if (!marked)
+    return s;
+  for (const auto &id : SettledFrom) {
+    const auto i = find(id);
+    s.SettledFrom.push_back(i < Chain.size() ? static_cast<std::uint8_t>(i + 1)
+                                             : 0);
+  }
+  return s;
+}
+
+auto ServicePlacement::stateHash() const -> std::uint64_t {
+  auto add = [](std::uint64_t h, const GenerationId &id) {
+    h = hashPair(h, raw(id.Config));
+    h = hashPair(h, id.Counter);
+    return hashPair(h, raw(id.Proposer));
+  };
+  auto h = add(raw(Service), ActiveId);
+  if (!Chain.empty())
+    h = add(h, Chain.back().Content.Id);
+  return hashPair(h, Unsettled.size());
+}
+
+auto ServicePlacement::rebuild() -> void {
+  ++Version;
+  const auto slots = Chain.front().Content.Slots;
+  Choices.assign(slots, 0);
+  Unsettled.clear();
+  Palette.clear();
+  const auto active = find(ActiveId);
+  if (active == Chain.size())
+    return;
+  const auto &now = Chain[active];
+  for (const auto &it : now.Content.Upstreams)
+    Palette.push_back(it.Id);
+  if (Palette.empty())
+    Palette.push_back(UpstreamId{});
+  for (std::uint32_t slot = 0; slot < slots; ++slot) {
+    Choices[slot] = now.Table.empty() ? 0 : now.Table[slot];
+    const auto mine = upstreamAt(now, slot);
+    const auto from = SettledFrom.empty() ? GenerationId{} : SettledFrom[slot];
+    const auto same = [&](const Link &k) {
+      return k.Content.Id < from || upstreamAt(k, slot) == mine;
+    };
+    if (std::all_of(Chain.begin(), Chain.end(), same))
+      continue;
+    Choices[slot] |= UnsettledBit;
+    Unsettled.push_back(static_cast<std::uint16_t>(slot));
+  }
+}
+
+auto ServicePlacement::trim() -> void {
+  if (!Unsettled.empty() || !isNewestActive() || Chain.size() == 1)
+    return;
+  Chain.erase(Chain.begin(), Chain.end() - 1);
+  SettledFrom.clear();
+}
+
+auto ServicePlacement::activeSince() const -> TimePoint {
+  const auto i = find(ActiveId);
+  return i < Chain.size() ? Chain[i].ActiveSince : TimePoint{};
+}
+
+auto ServicePlacement::isNewestActive() const -> bool {
+  return !Chain.empty() && Chain.back().Content.Id == ActiveId;
+}
+
+auto ServicePlacement::candidates(std::uint32_t slot, TimePoint now,
+                                  Duration idleLimit) const
+    -> std::vector<UpstreamId> {
+  std::vector<const Link *> used;
+  const auto from = SettledFrom.empty() ? GenerationId{} : SettledFrom[slot];
+  for (const auto &k : Chain)
+    if (k.Content.Id >= from && k.Content.Id <= ActiveId)
+      used.push_back(&k);
+  std::vector<UpstreamId> all;
+  auto append = [&](UpstreamId id) {
+    if (id != UpstreamId{} &&
+        std::find(all.begin(), all.end(), id) == all.end())
+      all.push_back(id);
+  };
+  // Once a generation was active for the idle limit, all older flows have been
+  // heard and recorded, so an unknown flow was opened under it. Before that,
+  // new flows are the recorded ones.
+  std::size_t likely = 0;
+  for (std::size_t i = 1; i < used.size(); ++i) {
+    const auto until = i + 1 < used.size() ? used[i + 1]->ActiveSince : now;
+    if (used[i]->WasActive && until - used[i]->ActiveSince >= idleLimit)
+      likely = i;
+  }
+  if (!used.empty())
+    append(upstreamAt(*used[likely], slot));
+  for (auto it = used.rbegin(); it != used.rend(); ++it)
+    append(upstreamAt(**it, slot));
+  return all;
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/flow/silent_flow_detector.cpp
@@ -0,0 +1,41 @@
+#include "flow/silent_flow_detector.h"
+
+namespace boragebridge {
+
+auto SilentFlowDetector::onSent(FlowHash h, const Endpoint &to, TimePoint now)
+    -> bool {
+  auto &e = Entries[raw(h) % TableSize];
+  if (e.Flow != h || e.To != to) {
+    const auto isFree = e.Packets == 0 || now - e.Last >= Options.SilentTime;
+    if (isFree)
+      e = {h, to, 1, now, now};
+    return false;
+  }
+  if (e.Packets == 0)
+    e.First = now;
+  ++e.Packets;
+  e.Last = now;
+  if (e.Packets < Options.SilentPackets || now - e.First < Options.SilentTime)
+    return false;
+  auto it = LastAnswers.find(to);
+  const auto othersProgress =
+      it != LastAnswers.end() && now - it->second < Options.SilentTime;
+  if (othersProgress)
+    e = {};
+  return othersProgress;
+}
+
+auto SilentFlowDetector::onAnswer(FlowHash h, const Endpoint &from,
+                                  TimePoint now) -> void {
+  constexpr std::size_t UpstreamLimit = 262144;
+  auto it = LastAnswers.find(from);
+  if (it != LastAnswers.end())
+    it->second = now;
+  else if (LastAnswers.size() < UpstreamLimit)
+    LastAnswers.emplace(from, now);
+  auto &e = Entries[raw(h) % TableSize];
+  if (e.Flow == h)
+    e.Packets = 0;
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/test/flow/flow_world.h
@@ -0,0 +1,299 @@
+/// \file
+/// Instances with only the flow controller, upstreams that behave like TCP
+/// hosts, and callers whose packets the fabric sprays; for tests and benches.
+#ifndef BORAGEBRIDGE_TEST_FLOW_FLOW_WORLD_H
+#define BORAGEBRIDGE_TEST_FLOW_FLOW_WORLD_H
+
+#include "fakes/fleet.h"
+#include "flow/flow_controller.h"
+
+#include <map>
+#include <set>
+
+namespace boragebridge {
+
+/// Options with short times, so that a test sees a whole change.
+inline auto quickFlowOptions() -> FlowOptions {
+  FlowOptions opt;
+  opt.IdleLimit = std::chrono::seconds(20);
+  return opt;
+}
+
+/// One service of one data centre, unless a test adds more.
+class FlowWorld {
+public:
+  static constexpr auto PacketInterval = std::chrono::seconds(1);
+  static inline const Endpoint ServiceAddress{0x0A640001, 443};
+
+  explicit FlowWorld(std::uint64_t seed = 1,
+                     FlowOptions opt = quickFlowOptions())
+      : Options(opt), Random(seed * 7919), Net(fleetOptions(seed)) {
+    Net.OnUpstreamPacket = [this](Instance &it, const Endpoint &to,
+                                  const Packet &p) { onUpstream(it, to, p); };
+    Net.OnCallerPacket = [this](Instance &, const Packet &p) { onCaller(p); };
+    Config.Number = Revision{1};
+    Config.DataCentres.push_back(
+        {idFromName<DataCentreId>("palermo"), "palermo", false});
+    Config.Services.push_back(
+        {idFromName<ServiceId>("board"), "board", "", ServiceAddress});
+  }
+
+  auto addUpstream(const std::string &name, std::uint32_t number,
+                   const std::string &service = "board",
+                   const std::string &dc = "palermo") -> void {
+    Upstream u;
+    u.Id = idFromName<UpstreamId>(name);
+    u.Name = name;
+    u.Service = idFromName<ServiceId>(service);
+    u.DataCentre = idFromName<DataCentreId>(dc);
+    u.Address = {0x0AC80000 + number, 9000};
+    Config.Upstreams.push_back(u);
+  }
+
+  auto upstream(const std::string &name) -> Upstream & {
+    for (auto &u : Config.Upstreams)
+      if (u.Name == name)
+        return u;
+    throw std::out_of_range(name);
+  }
+
+  /// Starts \p instances instances and \p upstreams upstreams, and waits until
+  /// the first generation is in use.
+  auto start(int instances, std::uint32_t upstreams) -> void {
+    for (std::uint32_t i = 0; i < upstreams; ++i)
+      addUpstream("u" + std::to_string(i), i);
+    for (int i = 0; i < instances; ++i)
+      addInstance("i" + std::to_string(i));
+    accept();
+    run(std::chrono::seconds(4));
+  }
+
+  auto addInstance(const std::string &name) -> void {
+    Net.addInstance(name, "palermo");
+    if (raw(Config.Number) > 1)
+      Net.publishConfiguration(name, Config);
+    Names.push_back(name);
+    Net.publishMembership();
+  }
+
+  /// Accepts the configuration as it stands now; all instances get it at once.
+  auto accept() -> void {
+    Config.Number = Revision{raw(Config.Number) + 1};
+    Net.publishConfiguration(Config);
+  }
+
+  /// Accepts it, but gives it to one instance only after \p late.
+  auto acceptLate(const std::string &name, Duration late) -> void {
+    Config.Number = Revision{raw(Config.Number) + 1};
+    for (auto *it : Net.running())
+      if (it->identity().Name != name)
+        Net.publishConfiguration(it->identity().Name, Config);
+    Net.Network.after(late, [this, name, cfg = Config] {
+      if (Net.isRunning(name))
+        Net.publishConfiguration(name, cfg);
+    });
+  }
+
+  /// Kills and lets the others know after \p known.
+  auto kill(const std::string &name, Duration known) -> void {
+    Net.kill(name);
+    std::erase(Names, name);
+    Net.Network.after(known, [this] { Net.publishMembership(); });
+  }
+
+  auto stop(const std::string &name) -> void {
+    Net.beginStop(name);
+    Net.publishMembership();
+  }
+
+  /// Opens a flow; its packets follow at random times, at any instance.
+  auto open(const Endpoint &service = ServiceAddress) -> FlowKey {
+    const FlowKey k{{0x0B000000 + NextCaller / 60000,
+                     static_cast<std::uint16_t>(NextCaller % 60000 + 1)},
+                    service,
+                    6};
+    ++NextCaller;
+    Flows[k] = {};
+    send(k, PacketKind::FlowOpen);
+    scheduleOpenRetry(k);
+    return k;
+  }
+
+  auto openMany(int n) -> void {
+    for (int i = 0; i < n; ++i) {
+      Net.Network.after(spread(std::chrono::seconds(1)), [this] { open(); });
+    }
+    run(std::chrono::milliseconds(1200));
+  }
+
+  auto send(const FlowKey &k, PacketKind kind) -> void {
+    sendVia(anyInstance(), k, kind);
+  }
+  auto sendVia(const std::string &name, const FlowKey &k, PacketKind kind)
+      -> void {
+    Net.fromFabric(name, {kind, k, {}});
+  }
+  auto anyInstance() -> std::string {
+    return Names[Random.below(Names.size())];
+  }
+
+  /// Moves time on; ended instances get no more packets.
+  auto run(Duration d) -> void {
+    constexpr auto Step = std::chrono::milliseconds(10);
+    for (Duration done{}; done < d; done += Step) {
+      Net.run(Step);
+      const auto before = Names.size();
+      std::erase_if(Names, [this](const auto &n) { return !Net.isRunning(n); });
+      if (Names.size() != before)
+        Net.publishMembership();
+    }
+  }
+
+  auto spread(Duration d) -> Duration {
+    return Duration(static_cast<std::int64_t>(
+        Random.below(static_cast<std::uint64_t>(d.count()))));
+  }
+
+  struct Flow {
+    bool Established = false;
+    bool Broken = false;
+    bool Closed = false;
+    Endpoint Upstream;
+    int Answers = 0;
+  };
+
+  auto brokenFlows() const -> int {
+    int n = 0;
+    for (const auto &[k, f] : Flows)
+      n += f.Broken ? 1 : 0;
+    return n;
+  }
+  auto establishedFlows() const -> int {
+    int n = 0;
+    for (const auto &[k, f] : Flows)
+      n += f.Established && !f.Broken ? 1 : 0;
+    return n;
+  }
+  /// Established flows that have an answer to each of the last few packets.
+  auto answersOf(const FlowKey &k) const -> int { return Flows.at(k).Answers; }
+  auto counterSum(const std::string &name) -> std::uint64_t {
+    std::uint64_t n = 0;
+    for (auto *it : Net.running())
+      n += it->metrics().counterValue(name);
+    return n;
+  }
+  auto controller(const std::string &name) -> FlowController & {
+    return dynamic_cast<FlowController &>(
+        *Net.instance(name).findController("flow"));
+  }
+  auto unsettledSlots(const std::string &name) -> std::size_t {
+    std::size_t n = 0;
+    for (const auto &[id, p] : controller(name).agreement().placements())
+      n += p.unsettledSlots().size();
+    return n;
+  }
+
+  FlowOptions Options;
+  SeededRandom Random;
+  Configuration Config;
+  fakes::Fleet Net;
+  std::vector<std::string> Names;
+  std::unordered_map<FlowKey, Flow> Flows;
+  /// Opening packets that reached each upstream address.
+  std::map<Endpoint, int> Opens;
+  /// All packets that reached each upstream address.
+  std::map<Endpoint, int> Packets;
+  /// Addresses of upstreams that do not answer at all.
+  std::set<Endpoint> DeadUpstreams;
+  /// Flows that the upstream side has lost track of without a word.
+  std::set<FlowKey> SilentFlows;
+  int Misdelivered = 0;
+
+private:
+  auto fleetOptions(std::uint64_t seed) -> fakes::FleetOptions {
+    fakes::FleetOptions opt;
+    opt.Seed = seed;
+    opt.Make = [this](const ControllerContext &ctx) {
+      ControllerList all;
+      all.push_back(std::make_unique<FlowController>(ctx, Options));
+      return all;
+    };
+    return opt;
+  }
+
+  auto scheduleOpenRetry(const FlowKey &k) -> void {
+    Net.Network.after(PacketInterval, [this, k] {
+      if (Flows.at(k).Established || Names.empty())
+        return;
+      send(k, PacketKind::FlowOpen);
+      scheduleOpenRetry(k);
+    });
+  }
+
+  auto scheduleData(const FlowKey &k) -> void {
+    Net.Network.after(PacketInterval / 2 + spread(PacketInterval), [this, k] {
+      const auto &f = Flows.at(k);
+      if (f.Broken || f.Closed || Names.empty())
+        return;
+      send(k, PacketKind::FlowData);
+      scheduleData(k);
+    });
+  }
+
+  auto answer(Instance &via, const Endpoint &from, Packet p) -> void {
+    constexpr auto Delay = std::chrono::microseconds(300);
+    Net.Network.after(Delay,
+                      [this, name = via.identity().Name, from,
+                       p = std::move(p)] { Net.fromUpstream(name, from, p); });
+  }
+
+  /// An upstream that answers what it knows and resets what it does not.
+  auto onUpstream(Instance &via, const Endpoint &to, const Packet &p) -> void {
+    ++Packets[to];
+    const auto it = HostedService.find(to);
+    if (it != HostedService.end() && it->second != p.Flow.Service)
+      ++Misdelivered;
+    if (DeadUpstreams.contains(to) || SilentFlows.contains(p.Flow))
+      return;
+    auto &known = KnownFlows[to];
+    if (p.Kind == PacketKind::FlowOpen) {
+      ++Opens[to];
+      known.insert(p.Flow);
+    }
+    if (!known.contains(p.Flow)) {
+      answer(via, to, {PacketKind::FlowReset, p.Flow, {}});
+      return;
+    }
+    if (p.Kind == PacketKind::FlowClose)
+      known.erase(p.Flow);
+    answer(via, to, {PacketKind::FlowData, p.Flow, {}});
+  }
+
+  auto onCaller(const Packet &p) -> void {
+    auto it = Flows.find(p.Flow);
+    if (it == Flows.end())
+      return;
+    auto &f = it->second;
+    if (p.Kind == PacketKind::FlowReset) {
+      f.Broken |= f.Established && !f.Closed;
+      return;
+    }
+    ++f.Answers;
+    if (f.Established)
+      return;
+    f.Established = true;
+    scheduleData(p.Flow);
+  }
+
+  std::unordered_map<Endpoint, std::set<FlowKey>> KnownFlows;
+  std::uint32_t NextCaller = 0;
+
+public:
+  /// The service address whose packets an upstream address is meant for, where
+  /// a test cares.
+  std::map<Endpoint, Endpoint> HostedService;
+};
+
+} // namespace boragebridge
+
+#endif
