--- /dev/null
+++ b/bench/experiments.h
@@ -0,0 +1,12 @@
+/// \file
+/// The entry points of the experiments; see experiment.h for what each does.
+#ifndef BORAGEBRIDGE_BENCH_EXPERIMENTS_H
+#define BORAGEBRIDGE_BENCH_EXPERIMENTS_H
+
+namespace boragebridge::bench {
+
+auto runReport(int argc, char **argv) -> int;
+
+} // namespace boragebridge::bench
+
+#endif
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,4 +1,5 @@
 #include "experiment.h"
+#include "experiments.h"
 
 #include <array>
 #include <iostream>
@@ -12,6 +13,8 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"report", "write a page from the outputs of experiments",
+               runReport},
     Experiment{"--version", "print the version", runVersion},
 };
 
