--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,10 +1,13 @@
 #include "boragebridge/instance.h"
 
+#include "membership/membership_controller.h"
+
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
-  static_cast<void>(ctx);
   ControllerList all;
+  auto platform = std::make_shared<BudgetedPlatform>(ctx);
+  all.push_back(makeMembershipController(ctx, platform));
   return all;
 }
 
--- /dev/null
+++ b/src/membership/membership_controller.cpp
@@ -0,0 +1,517 @@
+#include "membership/membership_controller.h"
+
+#include "membership/membership_events.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace boragebridge {
+
+namespace {
+
+/// Relayed probes that are remembered at once.
+constexpr std::size_t RelayedLimit = 64;
+/// Rumours that wait to be sent; the oldest is dropped beyond.
+constexpr std::size_t RumourLimit = 256;
+constexpr std::size_t RumoursPerMessage = 8;
+/// Seeds that are asked at once.
+constexpr std::size_t JoinFanOut = 8;
+/// Messages in a row with another digest before the buckets are compared.
+constexpr unsigned MismatchLimit = 3;
+constexpr Duration ForgetPeriod = std::chrono::seconds(10);
+
+auto isLive(MemberState s) -> bool { return s != MemberState::Dead; }
+
+} // namespace
+
+MembershipController::MembershipController(
+    const ControllerContext &ctx, std::shared_ptr<BudgetedPlatform> platform,
+    MembershipSettings settings)
+    : Ctx(ctx), Platform(std::move(platform)), Settings(settings),
+      Suspicions(ctx.Metrics.counter("membership_suspicions_total",
+                                     "Members that this instance suspected")),
+      Deaths(ctx.Metrics.counter("membership_deaths_total",
+                                 "Members that this instance declared dead")),
+      Refutations(
+          ctx.Metrics.counter("membership_refutations_total",
+                              "News about this instance that it refuted")),
+      Dropped(ctx.Metrics.counter("membership_dropped_total",
+                                  "News dropped because a table was full")) {}
+
+MembershipController::~MembershipController() = default;
+
+auto MembershipController::selfUpdate() const -> MemberUpdate {
+  return Table.find(Ctx.Self.Id)->News;
+}
+
+auto MembershipController::start() -> void {
+  const auto now = Ctx.Time.now();
+  LastTick = now;
+  NextProbe = now + Ctx.Random.jitter(Settings.ProbePeriod);
+  NextJoin = now;
+  NextListRead = now;
+  NextReconnect = now + Ctx.Random.jitter(Settings.ReconnectPeriod);
+  NextSync = now;
+  NextForget = now + ForgetPeriod;
+  changeSelf(MemberState::Alive, 0);
+}
+
+auto MembershipController::tick(TimePoint now) -> void {
+  Platform->tick(now);
+  allowForPause(now);
+  readList(now);
+  registerSelf();
+  join(now);
+  runProbe(now);
+  expireSuspects(now);
+  reconnect(now);
+  if (now >= NextForget) {
+    Table.forgetDead(now - Settings.DeadKept);
+    Changed = true;
+    NextForget = now + ForgetPeriod;
+  }
+  sendFresh();
+  publishIfChanged(now);
+}
+
+/// Silence that this process slept through is no evidence against others.
+auto MembershipController::allowForPause(TimePoint now) -> void {
+  const auto gap = now - LastTick;
+  LastTick = now;
+  if (gap < Settings.PauseThreshold)
+    return;
+  Table.shiftTimes(gap);
+  Current = {};
+  NextProbe = now;
+}
+
+auto MembershipController::join(TimePoint now) -> void {
+  if (Joined || now < NextJoin)
+    return;
+  NextJoin = now + Ctx.Random.jitter(Settings.JoinRetry);
+  auto seeds = Ctx.Self.Seeds;
+  seeds.insert(seeds.end(), ListedPeers.begin(), ListedPeers.end());
+  std::erase(seeds, Ctx.Self.PeerAddress);
+  for (std::size_t n = 0; n < JoinFanOut && !seeds.empty(); ++n) {
+    const auto it = seeds.begin() +
+                    static_cast<std::ptrdiff_t>(Ctx.Random.below(seeds.size()));
+    send(*it, MembershipKind::Join, makeMessage());
+    seeds.erase(it);
+  }
+}
+
+auto MembershipController::runProbe(TimePoint now) -> void {
+  if (now >= NextProbe) {
+    endProbe(now);
+    beginProbe(now);
+    NextProbe = now + Settings.ProbePeriod;
+    return;
+  }
+  if (Current.Nonce == 0 || Current.Answered || Current.AskedOthers ||
+      now < Current.Begun + Settings.DirectTimeout)
+    return;
+  Current.AskedOthers = true;
+  const auto *target = Table.find(Current.Target);
+  if (target == nullptr)
+    return;
+  auto m = makeMessage(Current.Nonce);
+  m.Target = target->News.About.PeerAddress;
+  for (const auto &it : randomLivePeers(Settings.IndirectProbes))
+    if (it != m.Target)
+      send(it, MembershipKind::ProbeRequest, m);
+}
+
+auto MembershipController::beginProbe(TimePoint now) -> void {
+  Current = {};
+  while (!ProbeOrder.empty()) {
+    const auto id = ProbeOrder.back();
+    ProbeOrder.pop_back();
+    const auto *it = Table.find(id);
+    if (it == nullptr || !isLive(it->News.About.State))
+      continue;
+    Current = {id, ++LastNonce, now, false, false};
+    send(it->News.About.PeerAddress, MembershipKind::Ping,
+         makeMessage(Current.Nonce));
+    return;
+  }
+  for (const auto &[id, it] : Table.entries())
+    if (id != Ctx.Self.Id && isLive(it.News.About.State))
+      ProbeOrder.push_back(id);
+  for (auto n = ProbeOrder.size(); n > 1; --n)
+    std::swap(ProbeOrder[n - 1], ProbeOrder[Ctx.Random.below(n)]);
+}
+
+auto MembershipController::endProbe(TimePoint) -> void {
+  if (Current.Nonce == 0 || Current.Answered)
+    return;
+  const auto *it = Table.find(Current.Target);
+  if (it == nullptr)
+    return;
+  if (it->News.About.State == MemberState::Leaving) {
+    declare(Current.Target, MemberState::Dead);
+    return;
+  }
+  if (it->News.About.State != MemberState::Alive)
+    return;
+  Suspicions.add();
+  declare(Current.Target, MemberState::Suspect);
+  // The suspect hears it first, so that it can refute.
+  send(it->News.About.PeerAddress, MembershipKind::Gossip, makeMessage());
+}
+
+auto MembershipController::declare(InstanceId id, MemberState state) -> void {
+  auto news = Table.find(id)->News;
+  news.About.State = state;
+  learn(news);
+}
+
+auto MembershipController::expireSuspects(TimePoint now) -> void {
+  std::vector<InstanceId> expired;
+  for (const auto &[id, it] : Table.entries())
+    if (it.News.About.State == MemberState::Suspect &&
+        now >= it.Since + Settings.SuspicionTime)
+      expired.push_back(id);
+  for (auto id : expired) {
+    Deaths.add();
+    declare(id, MemberState::Dead);
+  }
+}
+
+auto MembershipController::reconnect(TimePoint now) -> void {
+  if (now < NextReconnect)
+    return;
+  NextReconnect = now + Ctx.Random.jitter(Settings.ReconnectPeriod);
+  std::vector<Endpoint> candidates;
+  std::vector<Endpoint> live;
+  for (const auto &[id, it] : Table.entries())
+    (isLive(it.News.About.State) ? live : candidates)
+        .push_back(it.News.About.PeerAddress);
+  for (const auto &it : Ctx.Self.Seeds)
+    if (std::find(live.begin(), live.end(), it) == live.end())
+      candidates.push_back(it);
+  if (candidates.empty())
+    return;
+  send(candidates[Ctx.Random.below(candidates.size())], MembershipKind::Ping,
+       makeMessage());
+}
+
+auto MembershipController::learn(const MemberUpdate &u) -> void {
+  if (u.About.Id == Ctx.Self.Id) {
+    learnAboutSelf(u);
+    return;
+  }
+  switch (Table.merge(u, Ctx.Time.now())) {
+  case MemberTable::Merged::Accepted:
+    noteChange(u);
+    return;
+  case MemberTable::Merged::Full:
+    Dropped.add();
+    Ctx.Log.write(events::PeerTableFull, {});
+    return;
+  default:
+    return;
+  }
+}
+
+/// News about this instance that is not its own is answered by a higher
+/// counter. That also settles a restart: the new incarnation outbids the old.
+auto MembershipController::learnAboutSelf(const MemberUpdate &u) -> void {
+  const auto self = selfUpdate();
+  const auto same =
+      u.About.Number == self.About.Number && u.About.State == self.About.State;
+  if (u.Counter < self.Counter || (same && u.Counter == self.Counter))
+    return;
+  if (u.About.Number == self.About.Number) {
+    Refutations.add();
+    Ctx.Log.write(events::SuspicionRefuted,
+                  {{"counter", std::to_string(u.Counter + 1)}});
+  }
+  changeSelf(self.About.State, u.Counter + 1);
+}
+
+auto MembershipController::changeSelf(MemberState state, std::uint32_t counter)
+    -> void {
+  const auto &self = Ctx.Self;
+  const MemberUpdate u{
+      {self.Id, self.Number, self.DataCentre, self.PeerAddress, state},
+      counter};
+  Table.merge(u, Ctx.Time.now());
+  noteChange(u);
+}
+
+static auto eventOf(MemberState s) -> const LogEvent & {
+  switch (s) {
+  case MemberState::Alive:
+    return events::PeerAlive;
+  case MemberState::Suspect:
+    return events::PeerSuspected;
+  case MemberState::Leaving:
+    return events::PeerLeaving;
+  default:
+    return events::PeerDead;
+  }
+}
+
+auto MembershipController::noteChange(const MemberUpdate &u) -> void {
+  Changed = true;
+  Fresh.push_back(u);
+  std::erase_if(Rumours, [&](const Rumour &it) {
+    return it.News.About.Id == u.About.Id;
+  });
+  Rumours.push_back({u, 0});
+  if (Rumours.size() > RumourLimit) {
+    Rumours.pop_front();
+    Dropped.add();
+  }
+  Ctx.Log.write(eventOf(u.About.State),
+                {{"peer", toString(u.About.PeerAddress)},
+                 {"incarnation", std::to_string(raw(u.About.Number))}});
+}
+
+/// Passes on what was learnt since the last tick, once.
+auto MembershipController::sendFresh() -> void {
+  if (Fresh.empty())
+    return;
+  auto fresh = std::move(Fresh);
+  Fresh.clear();
+  if (fresh.size() > RumourLimit)
+    fresh.resize(RumourLimit);
+  MembershipMessage m;
+  m.Updates = std::move(fresh);
+  for (const auto &it : randomLivePeers(Settings.GossipFanOut))
+    send(it, MembershipKind::Gossip, m);
+}
+
+auto MembershipController::randomLivePeers(std::size_t n)
+    -> std::vector<Endpoint> {
+  std::vector<Endpoint> live;
+  for (const auto &[id, it] : Table.entries())
+    if (id != Ctx.Self.Id && isLive(it.News.About.State))
+      live.push_back(it.News.About.PeerAddress);
+  n = std::min(n, live.size());
+  for (std::size_t k = 0; k < n; ++k)
+    std::swap(live[k], live[k + Ctx.Random.below(live.size() - k)]);
+  live.resize(n);
+  return live;
+}
+
+auto MembershipController::makeMessage(std::uint32_t nonce)
+    -> MembershipMessage {
+  MembershipMessage m;
+  m.Nonce = nonce;
+  m.Digest = Table.digest();
+  m.Updates.push_back(selfUpdate());
+  attachRumours(m);
+  return m;
+}
+
+/// Each rumour goes out a number of times that grows with the logarithm of
+/// the fleet, then rests; the digests find whoever missed it.
+auto MembershipController::attachRumours(MembershipMessage &m) -> void {
+  const auto limit =
+      3U * static_cast<unsigned>(std::bit_width(Table.entries().size()));
+  auto n = std::min(RumoursPerMessage, Rumours.size());
+  for (; n > 0; --n) {
+    auto r = Rumours.front();
+    Rumours.pop_front();
+    m.Updates.push_back(r.News);
+    if (++r.Sends < limit)
+      Rumours.push_back(r);
+  }
+}
+
+auto MembershipController::send(const Endpoint &to, MembershipKind kind,
+                                const MembershipMessage &m) -> void {
+  const auto n = static_cast<std::uint8_t>(kind);
+  Ctx.Peers.send(to, messageKind(MessageFamily::Membership, n),
+                 encodeMembership(m));
+}
+
+auto MembershipController::sendView(const Endpoint &to, MembershipKind kind,
+                                    const std::vector<std::uint64_t> &theirs)
+    -> void {
+  MembershipMessage m;
+  m.Updates.push_back(selfUpdate());
+  const auto &mine = Table.bucketDigests();
+  for (const auto &[id, it] : Table.entries()) {
+    const auto bucket = MemberTable::bucketOf(id);
+    if (theirs.empty() || theirs[bucket] != mine[bucket])
+      m.Updates.push_back(it.News);
+  }
+  if (kind == MembershipKind::SyncAnswer)
+    m.Buckets.assign(mine.begin(), mine.end());
+  send(to, kind, m);
+}
+
+auto MembershipController::noteDigest(std::uint64_t digest,
+                                      const Endpoint &from) -> void {
+  if (digest == Table.digest()) {
+    DigestMismatches = 0;
+    return;
+  }
+  const auto now = Ctx.Time.now();
+  if (++DigestMismatches < MismatchLimit || now < NextSync)
+    return;
+  DigestMismatches = 0;
+  NextSync = now + Ctx.Random.jitter(Settings.SyncPeriod);
+  MembershipMessage m;
+  m.Buckets.assign(Table.bucketDigests().begin(), Table.bucketDigests().end());
+  send(from, MembershipKind::Sync, m);
+}
+
+auto MembershipController::onPeerFrame(const PeerFrame &f) -> bool {
+  static constexpr std::array<Handler, 8> Handlers{
+      &MembershipController::onPing,
+      &MembershipController::onAck,
+      &MembershipController::onProbeRequest,
+      &MembershipController::onGossip,
+      &MembershipController::onJoin,
+      &MembershipController::onView,
+      &MembershipController::onSync,
+      &MembershipController::onSyncAnswer};
+  const auto number = static_cast<std::size_t>(f.Kind & 0xFFU);
+  MembershipMessage m;
+  if (number == 0 || number > Handlers.size() || !decodeMembership(f.Body, m))
+    return false;
+  for (const auto &it : m.Updates)
+    learn(it);
+  correctSender(f);
+  return (this->*Handlers[number - 1])(f, m);
+}
+
+/// A sender that is believed dead, or of another start, has to hear it, so
+/// that it can refute.
+auto MembershipController::correctSender(const PeerFrame &f) -> void {
+  const auto *it = Table.find(f.Sender);
+  if (it == nullptr || f.Sender == Ctx.Self.Id)
+    return;
+  const auto &known = it->News.About;
+  if (known.Number == f.SenderIncarnation &&
+      (known.State == MemberState::Alive ||
+       known.State == MemberState::Leaving))
+    return;
+  MembershipMessage news;
+  news.Updates.push_back(it->News);
+  send(f.SenderAddress, MembershipKind::Gossip, news);
+}
+
+auto MembershipController::onPing(const PeerFrame &f,
+                                  const MembershipMessage &m) -> bool {
+  send(f.SenderAddress, MembershipKind::Ack, makeMessage(m.Nonce));
+  noteDigest(m.Digest, f.SenderAddress);
+  return true;
+}
+
+auto MembershipController::onAck(const PeerFrame &, const MembershipMessage &m)
+    -> bool {
+  if (m.Nonce == 0)
+    return true;
+  if (m.Nonce == Current.Nonce)
+    Current.Answered = true;
+  auto it = std::find_if(Relayed.begin(), Relayed.end(),
+                         [&](const auto &r) { return r.Nonce == m.Nonce; });
+  if (it == Relayed.end())
+    return true;
+  send(it->Origin, MembershipKind::Ack, makeMessage(it->OriginNonce));
+  Relayed.erase(it);
+  return true;
+}
+
+auto MembershipController::onProbeRequest(const PeerFrame &f,
+                                          const MembershipMessage &m) -> bool {
+  Relayed.push_back({++LastNonce, m.Nonce, f.SenderAddress});
+  if (Relayed.size() > RelayedLimit)
+    Relayed.pop_front();
+  send(m.Target, MembershipKind::Ping, makeMessage(LastNonce));
+  return true;
+}
+
+auto MembershipController::onGossip(const PeerFrame &,
+                                    const MembershipMessage &) -> bool {
+  return true;
+}
+
+auto MembershipController::onJoin(const PeerFrame &f, const MembershipMessage &)
+    -> bool {
+  Joined = true;
+  sendView(f.SenderAddress, MembershipKind::View, {});
+  return true;
+}
+
+auto MembershipController::onView(const PeerFrame &, const MembershipMessage &)
+    -> bool {
+  Joined = true;
+  return true;
+}
+
+auto MembershipController::onSync(const PeerFrame &f,
+                                  const MembershipMessage &m) -> bool {
+  if (m.Buckets.empty())
+    return false;
+  sendView(f.SenderAddress, MembershipKind::SyncAnswer, m.Buckets);
+  return true;
+}
+
+auto MembershipController::onSyncAnswer(const PeerFrame &f,
+                                        const MembershipMessage &m) -> bool {
+  if (m.Buckets.empty())
+    return false;
+  sendView(f.SenderAddress, MembershipKind::View, m.Buckets);
+  return true;
+}
+
+auto MembershipController::publishIfChanged(TimePoint now) -> void {
+  if (!Changed)
+    return;
+  Changed = false;
+  MembershipView view;
+  LiveCount = 0;
+  for (const auto &[id, it] : Table.entries()) {
+    const auto live = isLive(it.News.About.State);
+    if (live || it.Since + Settings.DeadShown > now)
+      view.Members.push_back(it.News.About);
+    if (live)
+      ++LiveCount;
+  }
+  Ctx.Metrics
+      .gauge("membership_live", "Members that count as live, this one included")
+      .set(static_cast<double>(LiveCount));
+  if (view.Members != Ctx.Board.Membership.read()->Members)
+    Ctx.Board.Membership.publish(std::move(view));
+}
+
+auto MembershipController::beginStop() -> void {
+  if (StopAt != TimePoint::max())
+    return;
+  StopAt = Ctx.Time.now() + Settings.LeaveTime;
+  changeSelf(MemberState::Leaving, selfUpdate().Counter + 1);
+  sendFresh();
+  unregisterSelf();
+}
+
+auto MembershipController::isStopped() const -> bool {
+  return Ctx.Time.now() >= StopAt;
+}
+
+auto MembershipController::dump() const -> boost::json::object {
+  boost::json::array members;
+  for (const auto &[id, it] : Table.entries())
+    members.push_back({{"address", toString(it.News.About.PeerAddress)},
+                       {"incarnation", raw(it.News.About.Number)},
+                       {"counter", it.News.Counter},
+                       {"state", static_cast<unsigned>(it.News.About.State)}});
+  return {{"joined", Joined},
+          {"registered", Registered},
+          {"live", LiveCount},
+          {"members", std::move(members)}};
+}
+
+auto makeMembershipController(const ControllerContext &ctx,
+                              std::shared_ptr<BudgetedPlatform> platform)
+    -> std::unique_ptr<Controller> {
+  return std::make_unique<MembershipController>(ctx, std::move(platform));
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/membership/membership_controller.h
@@ -0,0 +1,165 @@
+/// \file
+/// Membership among the instances: each probes one other member a period,
+/// asks others to probe before it suspects, and spreads news by gossip.
+///
+/// The work and the bytes of an instance depend on the probe period and on how
+/// often members change, not on how many there are.
+#ifndef BORAGEBRIDGE_MEMBERSHIP_MEMBERSHIP_CONTROLLER_H
+#define BORAGEBRIDGE_MEMBERSHIP_MEMBERSHIP_CONTROLLER_H
+
+#include "membership/membership_messages.h"
+#include "platform/budgeted_platform.h"
+
+#include <deque>
+
+namespace boragebridge {
+
+/// Timing and fan-out.
+struct MembershipSettings {
+  Duration ProbePeriod = std::chrono::milliseconds(500);
+  /// After this without an answer, others are asked to probe.
+  Duration DirectTimeout = std::chrono::milliseconds(150);
+  /// How long a suspect has to refute.
+  Duration SuspicionTime = std::chrono::seconds(2);
+  /// Longer gaps between two ticks mean that this process was paused.
+  Duration PauseThreshold = std::chrono::milliseconds(400);
+  Duration JoinRetry = std::chrono::seconds(1);
+  /// Reads of the platform's list until a peer answered.
+  Duration ListPeriod = std::chrono::seconds(2);
+  /// Probes of dead members and seeds, so that partitions heal.
+  Duration ReconnectPeriod = std::chrono::seconds(1);
+  Duration SyncPeriod = std::chrono::seconds(2);
+  Duration DeadKept = std::chrono::hours(2);
+  /// How long a dead member stays on the blackboard.
+  Duration DeadShown = std::chrono::minutes(5);
+  /// Between the announcement of a planned stop and the end.
+  Duration LeaveTime = std::chrono::seconds(1);
+  std::size_t IndirectProbes = 3;
+  std::size_t GossipFanOut = 3;
+};
+
+/// Owner of the Membership section. Not thread-safe.
+class MembershipController final : public Controller {
+public:
+  /// \p ctx and \p settings outlive the controller; ticks \p platform.
+  MembershipController(const ControllerContext &ctx,
+                       std::shared_ptr<BudgetedPlatform> platform,
+                       MembershipSettings settings = {});
+  ~MembershipController() override;
+
+  auto name() const -> std::string_view override { return "membership"; }
+  auto family() const -> MessageFamily override {
+    return MessageFamily::Membership;
+  }
+  auto start() -> void override;
+  auto tick(TimePoint now) -> void override;
+  auto onPeerFrame(const PeerFrame &f) -> bool override;
+  auto beginStop() -> void override;
+  auto isStopped() const -> bool override;
+  auto dump() const -> boost::json::object override;
+
+private:
+  struct Probe {
+    InstanceId Target{};
+    std::uint32_t Nonce = 0;
+    TimePoint Begun;
+    bool AskedOthers = false;
+    bool Answered = false;
+  };
+  /// A probe made on behalf of another instance.
+  struct RelayedProbe {
+    std::uint32_t Nonce = 0;
+    std::uint32_t OriginNonce = 0;
+    Endpoint Origin;
+  };
+  /// News that is still attached to outgoing messages.
+  struct Rumour {
+    MemberUpdate News;
+    unsigned Sends = 0;
+  };
+  using Handler = auto(MembershipController::*)(const PeerFrame &f,
+                                                const MembershipMessage &m)
+                      -> bool;
+
+  auto runProbe(TimePoint now) -> void;
+  auto beginProbe(TimePoint now) -> void;
+  auto endProbe(TimePoint now) -> void;
+  auto expireSuspects(TimePoint now) -> void;
+  auto reconnect(TimePoint now) -> void;
+  auto join(TimePoint now) -> void;
+  auto allowForPause(TimePoint now) -> void;
+  auto publishIfChanged(TimePoint now) -> void;
+  auto sendFresh() -> void;
+
+  auto learn(const MemberUpdate &u) -> void;
+  auto learnAboutSelf(const MemberUpdate &u) -> void;
+  auto noteChange(const MemberUpdate &u) -> void;
+  auto changeSelf(MemberState state, std::uint32_t counter) -> void;
+  auto declare(InstanceId id, MemberState state) -> void;
+  auto noteDigest(std::uint64_t digest, const Endpoint &from) -> void;
+
+  auto onPing(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onAck(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onProbeRequest(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onGossip(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onJoin(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onView(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onSync(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto onSyncAnswer(const PeerFrame &f, const MembershipMessage &m) -> bool;
+  auto correctSender(const PeerFrame &f) -> void;
+
+  auto makeMessage(std::uint32_t nonce = 0) -> MembershipMessage;
+  auto attachRumours(MembershipMessage &m) -> void;
+  auto send(const Endpoint &to, MembershipKind kind, const MembershipMessage &m)
+      -> void;
+  /// Sends what this instance knows; when \p theirs is not empty, only the
+  /// buckets in which the other side knows something else.
+  auto sendView(const Endpoint &to, MembershipKind kind,
+                const std::vector<std::uint64_t> &theirs) -> void;
+  auto randomLivePeers(std::size_t n) -> std::vector<Endpoint>;
+  auto selfUpdate() const -> MemberUpdate;
+
+  auto readList(TimePoint now) -> void;
+  auto registerSelf() -> void;
+  auto unregisterSelf() -> void;
+  auto platformKey() const -> std::string;
+
+  const ControllerContext &Ctx;
+  std::shared_ptr<BudgetedPlatform> Platform;
+  MembershipSettings Settings;
+  MemberTable Table;
+  std::deque<Rumour> Rumours;
+  std::vector<MemberUpdate> Fresh;
+  std::vector<InstanceId> ProbeOrder;
+  std::deque<RelayedProbe> Relayed;
+  std::vector<Endpoint> ListedPeers;
+  Probe Current;
+  std::uint32_t LastNonce = 0;
+  unsigned DigestMismatches = 0;
+  std::size_t LiveCount = 0;
+  bool Joined = false;
+  bool Changed = true;
+  bool Registered = false;
+  bool RegistrationOpen = false;
+  TimePoint LastTick;
+  TimePoint NextProbe;
+  TimePoint NextJoin;
+  TimePoint NextListRead;
+  TimePoint NextReconnect;
+  TimePoint NextSync;
+  TimePoint NextForget;
+  TimePoint StopAt = TimePoint::max();
+  Counter &Suspicions;
+  Counter &Deaths;
+  Counter &Refutations;
+  Counter &Dropped;
+};
+
+/// The controller with default settings.
+auto makeMembershipController(const ControllerContext &ctx,
+                              std::shared_ptr<BudgetedPlatform> platform)
+    -> std::unique_ptr<Controller>;
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/platform/budgeted_platform.cpp
@@ -0,0 +1,141 @@
+#include "platform/budgeted_platform.h"
+
+#include "platform/platform_events.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+static constexpr std::array KindNames{"get", "list", "put", "remove", "watch"};
+
+BudgetedPlatform::BudgetedPlatform(const ControllerContext &ctx,
+                                   PlatformBudget budget)
+    : Ctx(ctx), Budget(budget),
+      Refused(ctx.Metrics.counter("platform_calls_refused_total",
+                                  "Calls refused by the instance's budget")),
+      TimedOut(ctx.Metrics.counter("platform_calls_timed_out_total",
+                                   "Calls that got no answer in time")),
+      Tokens(budget.Burst), Filled(ctx.Time.now()), NotBefore(ctx.Time.now()) {
+  for (std::size_t n = 0; n < KindNames.size(); ++n)
+    CallCounters[n] = &ctx.Metrics.counter(
+        std::string("platform_calls_") + KindNames[n] + "_total",
+        "Calls to the platform's store of this kind");
+}
+
+BudgetedPlatform::~BudgetedPlatform() = default;
+
+auto BudgetedPlatform::takeToken() -> bool {
+  const auto now = Ctx.Time.now();
+  const std::chrono::duration<double> passed = now - Filled;
+  Filled = now;
+  Tokens =
+      std::min(Budget.Burst, Tokens + Budget.CallsPerSecond * passed.count());
+  if (Tokens < 1)
+    return false;
+  Tokens -= 1;
+  return true;
+}
+
+/// Whether \p s is an answer of the store rather than a failure to reach it.
+static auto isAnswer(const absl::Status &s) -> bool {
+  return !absl::IsUnavailable(s) && !absl::IsDeadlineExceeded(s) &&
+         !absl::IsResourceExhausted(s);
+}
+
+auto BudgetedPlatform::noteOutcome(const absl::Status &s) -> void {
+  if (isAnswer(s)) {
+    if (!Reachable)
+      Ctx.Log.write(events::PlatformBack, {});
+    Reachable = true;
+    Failures = 0;
+    return;
+  }
+  constexpr unsigned MaxDoublings = 16;
+  if (Reachable)
+    Ctx.Log.write(events::PlatformLost, {{"status", std::string(s.message())}});
+  Reachable = false;
+  const auto delay =
+      std::min(Budget.MaxBackoff,
+               Budget.FirstBackoff * (1U << std::min(Failures, MaxDoublings)));
+  ++Failures;
+  NotBefore = Ctx.Time.now() + Ctx.Random.jitter(delay);
+}
+
+auto BudgetedPlatform::mayCallInBackground() const -> bool {
+  return Ctx.Time.now() >= NotBefore;
+}
+
+template <typename T>
+auto BudgetedPlatform::begin(Kind kind, Duration timeout, Callback<T> done)
+    -> Callback<T> {
+  if (!takeToken()) {
+    Refused.add();
+    RefusedCalls.emplace_back([done = std::move(done)] {
+      done(absl::ResourceExhaustedError("this instance's budget is spent"));
+    });
+    return nullptr;
+  }
+  CallCounters[static_cast<std::size_t>(kind)]->add();
+  const auto id = ++LastCall;
+  Open[id] = {Ctx.Time.now() + timeout, [done](const auto &s) { done(s); }};
+  return [this, id, done = std::move(done),
+          alive = std::weak_ptr<bool>(Alive)](absl::StatusOr<T> r) {
+    if (alive.expired() || Open.erase(id) == 0)
+      return;
+    noteOutcome(r.status());
+    done(std::move(r));
+  };
+}
+
+auto BudgetedPlatform::get(std::string key, Callback<StoredObject> done)
+    -> void {
+  if (auto f = begin(Kind::Get, Budget.CallTimeout, std::move(done)))
+    Ctx.Platform.get(std::move(key), std::move(f));
+}
+
+auto BudgetedPlatform::list(std::string prefix, Callback<ObjectList> done)
+    -> void {
+  if (auto f = begin(Kind::List, Budget.CallTimeout, std::move(done)))
+    Ctx.Platform.list(std::move(prefix), std::move(f));
+}
+
+auto BudgetedPlatform::put(std::string key, std::string value,
+                           ObjectVersion expected, Callback<ObjectVersion> done)
+    -> void {
+  if (auto f = begin(Kind::Put, Budget.CallTimeout, std::move(done)))
+    Ctx.Platform.put(std::move(key), std::move(value), expected, std::move(f));
+}
+
+auto BudgetedPlatform::remove(std::string key, ObjectVersion expected,
+                              Callback<ObjectVersion> done) -> void {
+  if (auto f = begin(Kind::Remove, Budget.CallTimeout, std::move(done)))
+    Ctx.Platform.remove(std::move(key), expected, std::move(f));
+}
+
+auto BudgetedPlatform::watch(std::string prefix, ObjectVersion after,
+                             Duration wait, Callback<ObjectList> done) -> void {
+  if (auto f = begin(Kind::Watch, wait + Budget.WatchGrace, std::move(done)))
+    Ctx.Platform.watch(std::move(prefix), after, wait, std::move(f));
+}
+
+auto BudgetedPlatform::tick(TimePoint now) -> void {
+  auto refused = std::move(RefusedCalls);
+  RefusedCalls.clear();
+  for (const auto &it : refused)
+    it();
+  std::vector<Call> overdue;
+  std::erase_if(Open, [&](auto &it) {
+    if (it.second.Until > now)
+      return false;
+    overdue.push_back(std::move(it.second));
+    return true;
+  });
+  const auto status = absl::DeadlineExceededError("no answer in time");
+  for (const auto &it : overdue) {
+    TimedOut.add();
+    noteOutcome(status);
+    it.Fail(status);
+  }
+}
+
+} // namespace boragebridge
