--- /dev/null
+++ b/src/net/asio_endpoint.h
@@ -0,0 +1,26 @@
+/// \file
+/// Conversion between Endpoint and the endpoints of Boost.Asio.
+#ifndef BORAGEBRIDGE_NET_ASIO_ENDPOINT_H
+#define BORAGEBRIDGE_NET_ASIO_ENDPOINT_H
+
+#include "boragebridge/types.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+namespace boragebridge {
+
+/// The endpoint of \p Protocol (ip::tcp or ip::udp) for \p e.
+template <typename Protocol>
+auto toAsio(const Endpoint &e) -> typename Protocol::endpoint {
+  return {boost::asio::ip::address_v4(e.Address), e.Port};
+}
+
+/// The reverse. Precondition: \p e is an IPv4 endpoint.
+template <typename AsioEndpoint>
+auto fromAsio(const AsioEndpoint &e) -> Endpoint {
+  return {static_cast<std::uint32_t>(e.address().to_v4().to_uint()), e.port()};
+}
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/net/packet_socket.cpp
@@ -0,0 +1,98 @@
+#include "net/packet_socket.h"
+
+#include "codec/datagram_codec.h"
+#include "net/asio_endpoint.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace boragebridge {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+auto PacketSocket::open(asio::io_context &io, const Endpoint &at)
+    -> absl::StatusOr<std::unique_ptr<PacketSocket>> {
+  auto it = std::make_unique<PacketSocket>(io);
+  if (auto ec = it->bind(at))
+    return absl::UnavailableError("cannot bind UDP " + toString(at) + ": " +
+                                  ec.message());
+  return it;
+}
+
+auto PacketSocket::bind(const Endpoint &at) -> boost::system::error_code {
+  boost::system::error_code ec;
+  if (Socket.open(udp::v4(), ec); ec)
+    return ec;
+  // The kernel caps these at its own limit; a smaller buffer is no error.
+  boost::system::error_code ignored;
+  Socket.set_option(udp::socket::receive_buffer_size(KernelBufferBytes),
+                    ignored);
+  Socket.set_option(udp::socket::send_buffer_size(KernelBufferBytes), ignored);
+  if (Socket.non_blocking(true, ec); ec)
+    return ec;
+  Socket.bind(toAsio<udp>(at), ec);
+  return ec;
+}
+
+auto PacketSocket::start(Handler h) -> void {
+  Receive = std::move(h);
+  Buffer.resize(MaxDatagramBytes);
+  wait();
+}
+
+auto PacketSocket::wait() -> void {
+  Socket.async_wait(udp::socket::wait_read,
+                    [this, alive = std::weak_ptr(Alive)](auto ec) {
+                      if (ec || alive.expired())
+                        return;
+                      receiveBatch();
+                    });
+}
+
+auto PacketSocket::receiveBatch() -> void {
+  const std::weak_ptr<bool> alive = Alive;
+  for (int n = 0; n < ReceiveBatch; ++n) {
+    if (!receiveOne())
+      break;
+    if (alive.expired())
+      return;
+  }
+  wait();
+}
+
+auto PacketSocket::receiveOne() -> bool {
+  udp::endpoint from;
+  boost::system::error_code ec;
+  auto n = Socket.receive_from(asio::buffer(Buffer), from, 0, ec);
+  // An ICMP error of an earlier send surfaces here; the socket stays usable.
+  if (ec)
+    return ec != asio::error::would_block &&
+           ec != asio::error::operation_aborted &&
+           ec != asio::error::bad_descriptor;
+  auto p = decodeDatagram(ByteView(Buffer).first(n));
+  if (!p.ok()) {
+    ++Counts.Malformed;
+    return true;
+  }
+  ++Counts.Received;
+  Receive(fromAsio(from), *p);
+  return true;
+}
+
+auto PacketSocket::send(const Endpoint &to, const Packet &p) -> void {
+  auto datagram = encodeDatagram(p);
+  if (!datagram.ok()) {
+    ++Counts.SendFailed;
+    return;
+  }
+  boost::system::error_code ec;
+  Socket.send_to(asio::buffer(*datagram), toAsio<udp>(to), 0, ec);
+  ++(ec ? Counts.SendFailed : Counts.Sent);
+}
+
+auto PacketSocket::local() const -> Endpoint {
+  boost::system::error_code ec;
+  return fromAsio(Socket.local_endpoint(ec));
+}
+
+} // namespace boragebridge
