--- a/src/codec/frame_codec.cpp
+++ b/src/codec/frame_codec.cpp
@@ -26,15 +26,15 @@
   return n;
 }
 
-/// Decodes one envelope; the caller has checked its length.
+/// Decodes one envelope with its length, which the caller has checked.
 static auto decodeEnvelope(ByteView b) -> absl::StatusOr<PeerFrame> {
   // Verification and access need the alignment that the stream does not give.
   Bytes aligned(b.begin(), b.end());
   const auto *data = reinterpret_cast<const std::uint8_t *>(aligned.data());
   flatbuffers::Verifier verifier(data, aligned.size());
-  if (!wire::VerifyFrameBuffer(verifier))
+  if (!wire::VerifySizePrefixedFrameBuffer(verifier))
     return absl::InvalidArgumentError("frame does not verify");
-  const auto *table = wire::GetFrame(data);
+  const auto *table = wire::GetSizePrefixedFrame(data);
   PeerFrame f;
   f.Sender = InstanceId{table->sender()};
   f.SenderIncarnation = Incarnation{table->sender_incarnation()};
@@ -73,7 +73,7 @@
     return fail("frame length out of range");
   if (rest.size() < FrameLengthBytes + length)
     return std::nullopt;
-  auto f = decodeEnvelope(rest.subspan(FrameLengthBytes, length));
+  auto f = decodeEnvelope(rest.first(FrameLengthBytes + length));
   if (!f.ok())
     return fail(std::string(f.status().message()));
   Consumed += FrameLengthBytes + length;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,6 +4,7 @@
 #define BORAGEBRIDGE_NET_HTTP_H
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace boragebridge {
@@ -21,18 +22,24 @@
   ServiceUnavailable = 503,
 };
 
+/// Header fields; names in lower case.
+using HttpHeaders = std::map<std::string, std::string>;
+
 struct HttpRequest {
   /// "GET", "POST", "PUT", "DELETE".
   std::string Method;
   /// Path and query, "/v1/services?x=y".
   std::string Target;
   std::string Body;
+  HttpHeaders Headers;
 };
 
 struct HttpResponse {
   unsigned Status = 200;
   std::string ContentType = "application/json";
   std::string Body;
+  /// Besides Content-Type and what the transport itself needs.
+  HttpHeaders Headers;
 };
 
 /// Ends one request; may be called once, at once or later.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/asio_endpoint.h"
+#include "net/http_headers.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -25,6 +26,8 @@
     Request.method_string(r.Method);
     Request.target(r.Target);
     Request.set(http::field::host, toString(to));
+    for (const auto &[name, value] : r.Headers)
+      Request.set(name, value);
     Request.keep_alive(false);
     Request.body() = std::move(r.Body);
     Request.prepare_payload();
@@ -46,7 +49,8 @@
                                          ": " + ec.message()));
     http::async_write(
         Stream, Request,
-        [self = shared_from_this()](auto e, auto) { self->onWritten(e); });
+        [self = shared_from_this()](auto e, auto) { self->onWritten(e); },
+        nullptr);
   }
   auto onWritten(beast::error_code ec) -> void {
     if (ec)
@@ -61,7 +65,7 @@
     auto &in = Parser.get();
     Done(HttpResponse{in.result_int(),
                       std::string(in[http::field::content_type]),
-                      std::move(in.body())});
+                      std::move(in.body()), copyHeaders(in)});
   }
   auto fail(beast::error_code ec) -> void {
     Done(absl::DeadlineExceededError("no whole answer from " + toString(To) +
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "net/asio_endpoint.h"
+#include "net/http_headers.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -71,7 +72,7 @@
     ++Owner->Counts.Requests;
     const auto &in = Parser->get();
     HttpRequest r{std::string(in.method_string()), std::string(in.target()),
-                  in.body()};
+                  in.body(), copyHeaders(in)};
     KeepAlive = in.keep_alive();
     Owner->Handle(r, [self = shared_from_this()](HttpResponse out) {
       self->write(std::move(out));
@@ -81,8 +82,10 @@
   /// Tells a sender of a malformed request why, if it still listens.
   auto refuse(beast::error_code ec) -> void {
     KeepAlive = false;
-    write({static_cast<unsigned>(HttpStatus::BadRequest), "text/plain",
-           "malformed request: " + ec.message() + "\n"});
+    write({static_cast<unsigned>(HttpStatus::BadRequest),
+           "text/plain",
+           "malformed request: " + ec.message() + "\n",
+           {}});
   }
 
   auto write(HttpResponse out) -> void {
@@ -92,13 +95,16 @@
     constexpr unsigned Http11 = 11;
     Response.emplace(static_cast<http::status>(out.Status), Http11);
     Response->set(http::field::content_type, out.ContentType);
+    for (const auto &[name, value] : out.Headers)
+      Response->set(name, value);
     Response->keep_alive(KeepAlive);
     Response->body() = std::move(out.Body);
     Response->prepare_payload();
     Stream.expires_after(Owner->Options.Timeout);
     http::async_write(
         Stream, *Response,
-        [self = shared_from_this()](auto ec, auto) { self->onWritten(ec); });
+        [self = shared_from_this()](auto ec, auto) { self->onWritten(ec); },
+        nullptr);
   }
 
   auto onWritten(beast::error_code ec) -> void {
