--- a/src/flow/flow_home.cpp
+++ b/src/flow/flow_home.cpp
@@ -87,8 +87,10 @@
 
 auto FlowHome::decideOpen(const FlowPacket &p, UpstreamId choice, TimePoint now)
     -> UpstreamId {
+  // The resets of a trial that is over may still be on the way.
+  const auto wasTried = Trials.find(p.Flow) != nullptr;
   Trials.erase(p.Flow);
-  if (isLearning(*p.Entry.Placement, now))
+  if (wasTried || isLearning(*p.Entry.Placement, now))
     record(p, choice, true, now);
   else
     Records.erase(p.Flow);
@@ -173,6 +175,10 @@
     -> ResetOutcome {
   auto *t = Trials.find(h);
   if (t == nullptr) {
+    const auto *r = Records.find(h);
+    if (r != nullptr &&
+        Directory.target(r->Service, r->Upstream).Address != from)
+      return {true, nullptr, {}};
     onEnd(h, now);
     return {};
   }
--- a/src/flow/flow_options.h
+++ b/src/flow/flow_options.h
@@ -27,6 +27,9 @@
   Duration SyncRetry = std::chrono::milliseconds(200);
   /// How long an instance without peers waits for some before it starts alone.
   Duration AloneLimit = std::chrono::milliseconds(2000);
+  /// An urgent change that its proposer has not announced for this long is
+  /// proposed by its deputy.
+  Duration DeputyDelay = std::chrono::milliseconds(1000);
   /// Least time between two changes of weights only.
   Duration ReweightInterval = std::chrono::seconds(10);
   /// A leaving upstream gets no new flow this long after its instance learned
--- a/src/flow/live_members.cpp
+++ b/src/flow/live_members.cpp
@@ -49,9 +49,17 @@
   return it == Participants.end() ? &Participants.front() : &*it;
 }
 
+auto LiveMembers::proposers(ServiceId service) const -> SlotOwners {
+  constexpr auto ProposerSlot = ~std::uint32_t{0};
+  return rank(Homes, service, ProposerSlot);
+}
+
 auto LiveMembers::isProposer(ServiceId service) const -> bool {
-  constexpr auto ProposerRank = ~std::uint32_t{0};
-  return rank(Homes, service, ProposerRank).Home.Id == Self.Id;
+  return proposers(service).Home.Id == Self.Id;
+}
+
+auto LiveMembers::isDeputy(ServiceId service) const -> bool {
+  return proposers(service).Mirror.Id == Self.Id;
 }
 
 auto LiveMembers::canBeAsked(InstanceId id) const -> bool {
--- a/src/flow/live_members.h
+++ b/src/flow/live_members.h
@@ -43,6 +43,8 @@
   /// True when this instance proposes the generations of \p service. The role
   /// is spread over the instances, so that its cost is.
   auto isProposer(ServiceId service) const -> bool;
+  /// True when this instance proposes if the proposer does not.
+  auto isDeputy(ServiceId service) const -> bool;
   /// The owners of slot \p slot of \p service; cached until the next update.
   auto owners(ServiceId service, std::uint32_t slot) -> SlotOwners;
   /// The home of the slot before the last change of members.
@@ -53,6 +55,7 @@
   auto noteHandedOver(InstanceId id) -> void { HandedOver.insert(id); }
 
 private:
+  auto proposers(ServiceId service) const -> SlotOwners;
   static auto rank(const std::vector<Peer> &all, ServiceId service,
                    std::uint32_t slot) -> SlotOwners;
 
--- a/src/flow/placement_agreement.h
+++ b/src/flow/placement_agreement.h
@@ -80,6 +80,7 @@
   auto wantedChanges(TimePoint now) -> std::vector<Change>;
   auto wantedChange(ServiceId service, std::span<const Upstream *const> all,
                     TimePoint now) -> std::optional<Change>;
+  auto isOverdue(const Change &c, TimePoint now) -> bool;
   auto startRound(std::vector<Change> changes, TimePoint now) -> void;
   auto sendAnnouncement(const Peer &to) -> void;
   auto activateAll(const GenerationId &id, TimePoint now) -> void;
@@ -125,6 +126,8 @@
   TimePoint LastProposal;
   TimePoint LastLook;
   std::unordered_map<ServiceId, TimePoint> LastReweight;
+  /// Since when an urgent change is overdue that others should propose.
+  std::unordered_map<ServiceId, TimePoint> OverdueSince;
   std::unordered_map<InstanceId, Revision> KnownRevisions;
   AddressQuarantine Quarantine;
   TimePoint LastPing;
--- a/src/flow/placement_rounds.cpp
+++ b/src/flow/placement_rounds.cpp
@@ -42,7 +42,7 @@
 }
 
 auto PlacementAgreement::tickProposer(TimePoint now) -> void {
-  constexpr auto LookInterval = std::chrono::milliseconds(1000);
+  constexpr auto LookInterval = std::chrono::milliseconds(500);
   constexpr auto LeastInterval = std::chrono::milliseconds(100);
   if (!Context.Board.Readiness.read()->MayServe)
     return;
@@ -76,14 +76,25 @@
   const auto cfg = Context.Board.Configuration.read();
   std::vector<Change> changes;
   for (const auto &[service, all] : groupUpstreams(*cfg)) {
-    if (!Members.isProposer(service))
+    const auto isProposer = Members.isProposer(service);
+    if (!isProposer && !Members.isDeputy(service))
       continue;
-    if (auto c = wantedChange(service, all, now); c)
+    auto c = wantedChange(service, all, now);
+    if (!c)
+      OverdueSince.erase(service);
+    else if (isProposer || isOverdue(*c, now))
       changes.push_back(std::move(*c));
   }
   return changes;
 }
 
+auto PlacementAgreement::isOverdue(const Change &c, TimePoint now) -> bool {
+  if (!c.Urgent)
+    return false;
+  const auto since = OverdueSince.try_emplace(c.Service, now).first->second;
+  return now - since >= Options.DeputyDelay;
+}
+
 auto PlacementAgreement::wantedChange(ServiceId service,
                                       std::span<const Upstream *const> all,
                                       TimePoint now) -> std::optional<Change> {
@@ -123,7 +134,8 @@
   if (sameSet && !isSame) {
     auto &last = LastReweight[service];
     if (now - last < Options.ReweightInterval ||
-        p->chainLength() + 1 >= ServicePlacement::MaxChain)
+        p->chainLength() + 1 >= ServicePlacement::MaxChain ||
+        !Members.isProposer(service))
       return std::nullopt;
     last = now;
   }
--- a/src/flow/service_directory.cpp
+++ b/src/flow/service_directory.cpp
@@ -19,6 +19,10 @@
     LeavingSince.erase(u.Id);
     return TargetUse::Open;
   }
+  // After a pause this instance cannot tell how long ago the upstream left.
+  const auto synced = Agreement.syncedAt();
+  if (synced && now - *synced < Options.LeavingLimit)
+    LeavingSince.try_emplace(u.Id, now - Options.LeavingLimit);
   const auto since = LeavingSince.try_emplace(u.Id, now).first->second;
   const auto until = since + Options.LeavingLimit;
   if (now >= until)
@@ -32,6 +36,7 @@
   if (SeenConfiguration != Context.Board.Configuration.version())
     Quarantine.update(*cfg, now);
   SeenConfiguration = Context.Board.Configuration.version();
+  SeenSync = Agreement.syncedAt();
   NextChange = TimePoint::max();
   Upstreams.clear();
   for (const auto &u : cfg->Upstreams)
--- a/src/flow/service_directory.h
+++ b/src/flow/service_directory.h
@@ -44,7 +44,8 @@
 
   /// Brings the tables up to date; cheap when nothing changed.
   auto refresh(TimePoint now) -> void {
-    if (SeenConfiguration != Context.Board.Configuration.version())
+    if (SeenConfiguration != Context.Board.Configuration.version() ||
+        SeenSync != Agreement.syncedAt())
       rebuild(now);
     if (SeenPlacements != Agreement.version())
       bindPlacements();
@@ -90,6 +91,7 @@
   PlacementAgreement &Agreement;
   AddressQuarantine Quarantine;
   std::uint64_t SeenConfiguration = 0;
+  std::optional<TimePoint> SeenSync;
   std::uint64_t SeenPlacements = ~std::uint64_t{0};
   std::vector<ServiceEntry> Entries;
   std::vector<std::uint32_t> Index;
--- a/test/flow/flow_world.h
+++ b/test/flow/flow_world.h
@@ -250,6 +250,7 @@
   /// An upstream that answers what it knows and resets what it does not.
   auto onUpstream(Instance &via, const Endpoint &to, const Packet &p) -> void {
     ++Packets[to];
+    LastServiceAt[to] = p.Flow.Service;
     const auto it = HostedService.find(to);
     if (it != HostedService.end() && it->second != p.Flow.Service)
       ++Misdelivered;
@@ -289,6 +290,8 @@
   std::uint32_t NextCaller = 0;
 
 public:
+  /// The service address of the newest packet at each upstream.
+  std::map<Endpoint, Endpoint> LastServiceAt;
   /// The service address whose packets an upstream address is meant for, where
   /// a test cares.
   std::map<Endpoint, Endpoint> HostedService;
