--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -5,6 +5,8 @@
 
 namespace boragebridge::bench {
 
+auto runCost(int argc, char **argv) -> int;
+auto runFlows(int argc, char **argv) -> int;
 auto runReport(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
--- /dev/null
+++ b/bench/flows.cpp
@@ -0,0 +1,273 @@
+#include "experiments.h"
+#include "fakes/flow_world.h"
+#include "flow_baselines.h"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+namespace boragebridge::bench {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct FlowSettings {
+  std::uint64_t Seed = 1;
+  int Instances = 8;
+  std::uint32_t Upstreams = 15;
+  int Flows = 200000;
+  std::string Scenario = "mixed";
+};
+
+/// One run: flows that are open before the change, the change, and flows that
+/// are opened while its slots are unsettled.
+class FlowExperiment {
+public:
+  explicit FlowExperiment(FlowSettings s)
+      : Settings(std::move(s)), World(Settings.Seed, options()) {
+    World.PacketInterval = seconds(4);
+    World.Unevenness = seconds(1);
+    World.OnSprayed = [this](const std::string &name, const FlowKey &k,
+                             PacketKind kind) { onSprayed(name, k, kind); };
+  }
+
+  auto run() -> int {
+    World.start(Settings.Instances, Settings.Upstreams);
+    openFlows(Settings.Flows / 2, seconds(10));
+    runFor(seconds(15));
+    Measuring = true;
+    openFlows(Settings.Flows / 2, openingTime());
+    const auto script = scripts().at(Settings.Scenario);
+    (this->*script)();
+    runFor(seconds(15));
+    return report();
+  }
+
+  using Script = auto(FlowExperiment::*)() -> void;
+  static auto scripts() -> const std::map<std::string, Script> & {
+    static const std::map<std::string, Script> All{
+        {"rolling", &FlowExperiment::rolling},
+        {"drain", &FlowExperiment::drain},
+        {"reweight", &FlowExperiment::reweight},
+        {"kill", &FlowExperiment::kill},
+        {"pause", &FlowExperiment::pause},
+        {"mixed", &FlowExperiment::mixed}};
+    return All;
+  }
+
+private:
+  static auto options() -> FlowOptions {
+    FlowOptions opt;
+    opt.IdleLimit = seconds(20);
+    return opt;
+  }
+
+  /// At 5,000 new flows a second at each instance.
+  auto openingTime() const -> Duration {
+    constexpr int FlowsPerInstanceSecond = 5000;
+    return Duration(seconds(1)) * (Settings.Flows / 2) /
+           (FlowsPerInstanceSecond * Settings.Instances);
+  }
+
+  auto openFlows(int n, Duration over) -> void {
+    for (int i = 0; i < n; ++i)
+      World.Net.Network.after(World.spread(over), [this] { World.open(); });
+  }
+
+  auto onSprayed(const std::string &name, const FlowKey &k, PacketKind kind)
+      -> void {
+    ++Sprayed;
+    if (!World.Net.isRunning(name))
+      return;
+    const auto cfg = World.Net.instance(name).board().Configuration.read();
+    for (auto &it : Baselines)
+      it.onPacket(name, *cfg, k, kind);
+  }
+
+  auto runFor(Duration d) -> void {
+    for (Duration done{}; done < d; done += seconds(1)) {
+      World.run(seconds(1));
+      if (Measuring)
+        measure();
+    }
+  }
+
+  /// Bytes that each instance sent in the last second.
+  auto measure() -> void {
+    for (auto *it : World.Net.running()) {
+      const auto &name = it->identity().Name;
+      const auto total = it->metrics().counterValue("flow_control_bytes_total");
+      auto &seen = ControlBytes[name];
+      if (seen.Seconds > 0) {
+        const auto now = static_cast<double>(total - seen.Last);
+        PeakControl = std::max(PeakControl, now);
+        seen.Sum += now;
+      }
+      seen.Last = total;
+      ++seen.Seconds;
+      MostRecords =
+          std::max(MostRecords, World.controller(name).home().records().size());
+    }
+  }
+
+  auto drainNumber(int i) -> void {
+    World.upstream("u" + std::to_string(i)).Mode = UpstreamMode::Draining;
+    World.addUpstream("n" + std::to_string(i),
+                      1000 + static_cast<std::uint32_t>(i));
+    World.accept();
+  }
+
+  auto drain() -> void {
+    drainNumber(0);
+    runFor(seconds(15));
+  }
+
+  auto rolling() -> void {
+    drainNumber(0);
+    for (int i = 0; i < Settings.Instances; ++i) {
+      const auto name = "i" + std::to_string(i);
+      World.stop(name);
+      runFor(seconds(2));
+      forget(name);
+      World.addInstance("r" + std::to_string(i));
+      runFor(seconds(1));
+    }
+    drainNumber(1);
+    runFor(seconds(5));
+  }
+
+  auto reweight() -> void {
+    for (int round = 0; round < 2; ++round) {
+      for (auto &u : World.Config.Upstreams)
+        u.SpeedPercent =
+            25 + static_cast<std::uint32_t>(World.Random.below(175));
+      World.accept();
+      runFor(seconds(12));
+    }
+  }
+
+  auto kill() -> void {
+    drainNumber(0);
+    runFor(seconds(3));
+    World.kill("i1", seconds(3));
+    forget("i1");
+    runFor(seconds(10));
+  }
+
+  auto pause() -> void {
+    World.Net.setPaused("i2", true);
+    drainNumber(0);
+    runFor(seconds(8));
+    World.Net.setPaused("i2", false);
+    runFor(seconds(5));
+  }
+
+  auto mixed() -> void {
+    World.Net.setPaused("i2", true);
+    drainNumber(0);
+    World.stop("i3");
+    World.addInstance("x0");
+    runFor(seconds(3));
+    drainNumber(1);
+    World.kill("i1", seconds(3));
+    forget("i1");
+    runFor(seconds(4));
+    World.Net.setPaused("i2", false);
+    World.upstream("u0").Mode = UpstreamMode::Active;
+    World.accept();
+    runFor(seconds(5));
+    reweight();
+  }
+
+  auto forget(const std::string &name) -> void {
+    for (auto &it : Baselines)
+      it.forget(name);
+  }
+
+  auto meanControl() const -> double {
+    double most = 0;
+    for (const auto &[name, it] : ControlBytes)
+      if (it.Seconds > 1)
+        most = std::max(most, it.Sum / (it.Seconds - 1));
+    return most;
+  }
+
+  auto report() -> int {
+    auto sum = [this](const char *name) { return World.counterSum(name); };
+    const auto relayed = static_cast<double>(sum("flow_packets_relayed_total"));
+    boost::json::object root{
+        {"experiment", "flows"},
+        {"scenario", Settings.Scenario},
+        {"seed", Settings.Seed},
+        {"flows", World.Flows.size()},
+        {"packets", Sprayed},
+        {"broken_flows", World.brokenFlows() - World.unavoidablyBroken()},
+        {"broken_unavoidable", World.unavoidablyBroken()},
+        {"not_established", static_cast<int>(World.Flows.size()) -
+                                World.establishedFlows() - World.brokenFlows()},
+        {"misdelivered", World.Misdelivered},
+        {"relayed_share", relayed / static_cast<double>(Sprayed)},
+        {"control_bytes_per_instance_second", meanControl()},
+        {"control_bytes_peak_second", PeakControl},
+        {"records_per_instance", MostRecords},
+        {"records_sent", sum("flow_records_sent_total")},
+        {"records_dropped", sum("flow_records_dropped_total")},
+        {"trials", sum("flow_trials_total")},
+        {"trials_retried", sum("flow_trials_retried_total")}};
+    root["baselines"] =
+        boost::json::object{{"modulo", Baselines[0].brokenFlows()},
+                            {"local_tracking", Baselines[1].brokenFlows()},
+                            {"without_relaying", Baselines[2].brokenFlows()}};
+    std::cout << boost::json::serialize(root) << '\n';
+    constexpr double ControlLimit = 5000;
+    const auto isMet = World.brokenFlows() == 0 && World.Misdelivered == 0 &&
+                       meanControl() < ControlLimit;
+    return isMet ? 0 : 1;
+  }
+
+  struct Sent {
+    std::uint64_t Last = 0;
+    double Sum = 0;
+    int Seconds = 0;
+  };
+
+  FlowSettings Settings;
+  fakes::FlowWorld World;
+  std::vector<BaselineRun> Baselines{BaselineRun(Baseline::Modulo),
+                                     BaselineRun(Baseline::LocalTracking),
+                                     BaselineRun(Baseline::WithoutRelaying)};
+  std::map<std::string, Sent> ControlBytes;
+  std::uint64_t Sprayed = 0;
+  double PeakControl = 0;
+  std::size_t MostRecords = 0;
+  bool Measuring = false;
+};
+
+} // namespace
+
+auto runFlows(int argc, char **argv) -> int {
+  FlowSettings s;
+  cxxopts::Options opt("boragebench flows",
+                       "flows that break through planned changes and faults");
+  opt.add_options()("seed", "seed of the run", cxxopts::value(s.Seed))(
+      "instances", "instances at the start", cxxopts::value(s.Instances))(
+      "upstreams", "upstreams at the start", cxxopts::value(s.Upstreams))(
+      "flows", "flows, half of them opened during the change",
+      cxxopts::value(s.Flows))(
+      "scenario", "rolling, drain, reweight, kill, pause or mixed",
+      cxxopts::value(s.Scenario))("help", "print this");
+  const auto args = opt.parse(argc, argv);
+  constexpr int LeastInstances = 4;
+  if (args.count("help") != 0 || s.Instances < LeastInstances ||
+      s.Upstreams < 2 || s.Flows < 2 ||
+      !FlowExperiment::scripts().contains(s.Scenario)) {
+    std::cout << opt.help();
+    return args.count("help") != 0 ? 0 : 2;
+  }
+  return FlowExperiment(s).run();
+}
+
+} // namespace boragebridge::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,6 +13,9 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"flows", "flows that break through changes and faults",
+               runFlows},
+    Experiment{"cost", "cost of a decision and of a generation", runCost},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
     Experiment{"--version", "print the version", runVersion},
--- a/test/flow/flow_world.h
+++ b/src/fakes/flow_world.h
@@ -1,16 +1,17 @@
 /// \file
 /// Instances with only the flow controller, upstreams that behave like TCP
 /// hosts, and callers whose packets the fabric sprays; for tests and benches.
-#ifndef BORAGEBRIDGE_TEST_FLOW_FLOW_WORLD_H
-#define BORAGEBRIDGE_TEST_FLOW_FLOW_WORLD_H
+#ifndef BORAGEBRIDGE_FAKES_FLOW_WORLD_H
+#define BORAGEBRIDGE_FAKES_FLOW_WORLD_H
 
 #include "fakes/fleet.h"
 #include "flow/flow_controller.h"
 
 #include <map>
 #include <set>
+#include <unordered_set>
 
-namespace boragebridge {
+namespace boragebridge::fakes {
 
 /// Options with short times, so that a test sees a whole change.
 inline auto quickFlowOptions() -> FlowOptions {
@@ -22,7 +23,7 @@
 /// One service of one data centre, unless a test adds more.
 class FlowWorld {
 public:
-  static constexpr auto PacketInterval = std::chrono::seconds(1);
+  static constexpr auto OpenRetryInterval = std::chrono::seconds(1);
   static inline const Endpoint ServiceAddress{0x0A640001, 443};
 
   explicit FlowWorld(std::uint64_t seed = 1,
@@ -79,7 +80,9 @@
   /// Accepts the configuration as it stands now; all instances get it at once.
   auto accept() -> void {
     Config.Number = Revision{raw(Config.Number) + 1};
-    Net.publishConfiguration(Config);
+    for (auto *it : Net.running())
+      publishLate(it->identity().Name,
+                  Unevenness == Duration{} ? Duration{} : spread(Unevenness));
   }
 
   /// Accepts it, but gives it to one instance only after \p late.
@@ -88,8 +91,19 @@
     for (auto *it : Net.running())
       if (it->identity().Name != name)
         Net.publishConfiguration(it->identity().Name, Config);
+    publishLate(name, late);
+  }
+
+  auto publishLate(const std::string &name, Duration late) -> void {
+    if (late == Duration{}) {
+      Net.publishConfiguration(name, Config);
+      return;
+    }
     Net.Network.after(late, [this, name, cfg = Config] {
-      if (Net.isRunning(name))
+      if (!Net.isRunning(name))
+        return;
+      const auto own = Net.instance(name).board().Configuration.read();
+      if (own->Number < cfg.Number)
         Net.publishConfiguration(name, cfg);
     });
   }
@@ -131,6 +145,8 @@
   }
   auto sendVia(const std::string &name, const FlowKey &k, PacketKind kind)
       -> void {
+    if (OnSprayed)
+      OnSprayed(name, k, kind);
     Net.fromFabric(name, {kind, k, {}});
   }
   auto anyInstance() -> std::string {
@@ -158,8 +174,6 @@
     bool Established = false;
     bool Broken = false;
     bool Closed = false;
-    Endpoint Upstream;
-    int Answers = 0;
   };
 
   auto brokenFlows() const -> int {
@@ -174,8 +188,15 @@
       n += f.Established && !f.Broken ? 1 : 0;
     return n;
   }
-  /// Established flows that have an answer to each of the last few packets.
-  auto answersOf(const FlowKey &k) const -> int { return Flows.at(k).Answers; }
+  /// Of the broken flows, those whose upstream is dead.
+  auto unavoidablyBroken() const -> int {
+    int n = 0;
+    for (const auto &a : DeadUpstreams)
+      if (auto it = KnownFlows.find(a); it != KnownFlows.end())
+        for (const auto &k : it->second)
+          n += Flows.at(k).Broken ? 1 : 0;
+    return n;
+  }
   auto counterSum(const std::string &name) -> std::uint64_t {
     std::uint64_t n = 0;
     for (auto *it : Net.running())
@@ -193,6 +214,13 @@
     return n;
   }
 
+  /// Mean time between two packets of a flow.
+  Duration PacketInterval = std::chrono::seconds(1);
+  /// Called with each packet that the fabric hands to an instance.
+  std::function<void(const std::string &, const FlowKey &, PacketKind)>
+      OnSprayed;
+  /// Instances get a configuration at random times up to this apart.
+  Duration Unevenness{};
   FlowOptions Options;
   SeededRandom Random;
   Configuration Config;
@@ -222,7 +250,7 @@
   }
 
   auto scheduleOpenRetry(const FlowKey &k) -> void {
-    Net.Network.after(PacketInterval, [this, k] {
+    Net.Network.after(OpenRetryInterval, [this, k] {
       if (Flows.at(k).Established || Names.empty())
         return;
       send(k, PacketKind::FlowOpen);
@@ -279,14 +307,13 @@
       f.Broken |= f.Established && !f.Closed;
       return;
     }
-    ++f.Answers;
     if (f.Established)
       return;
     f.Established = true;
     scheduleData(p.Flow);
   }
 
-  std::unordered_map<Endpoint, std::set<FlowKey>> KnownFlows;
+  std::unordered_map<Endpoint, std::unordered_set<FlowKey>> KnownFlows;
   std::uint32_t NextCaller = 0;
 
 public:
@@ -297,6 +324,6 @@
   std::map<Endpoint, Endpoint> HostedService;
 };
 
-} // namespace boragebridge
+} // namespace boragebridge::fakes
 
 #endif
--- a/test/flow/flow_controller_test.cpp
+++ b/test/flow/flow_controller_test.cpp
@@ -1,11 +1,13 @@
 #include "flow/flow_controller.h"
 
-#include "flow/flow_world.h"
+#include "fakes/flow_world.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace boragebridge {
 
+using fakes::FlowWorld;
+
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/test/flow/flow_scenarios_test.cpp
+++ b/test/flow/flow_scenarios_test.cpp
@@ -1,10 +1,12 @@
 // Planned changes and faults, alone and together: no established flow breaks.
-#include "flow/flow_world.h"
+#include "fakes/flow_world.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace boragebridge {
 
+using fakes::FlowWorld;
+
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- /dev/null
+++ b/test/flow/service_placement_test.cpp
@@ -0,0 +1,120 @@
+#include "flow/service_placement.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge {
+
+namespace {
+
+constexpr Duration IdleLimit = std::chrono::seconds(10);
+
+struct Fixture {
+  static auto make(std::uint64_t n, std::vector<std::uint64_t> upstreams)
+      -> Generation {
+    Generation g{{Revision{1}, n, Incarnation{1}}, 1024, {}};
+    for (auto id : upstreams)
+      g.Upstreams.push_back({UpstreamId{id}, 64});
+    return g;
+  }
+  auto use(const Generation &g) -> void {
+    Placement.add(g);
+    Placement.activate(g.Id, Now);
+  }
+  auto choiceOf(std::uint32_t slot) const -> UpstreamId {
+    return Placement.palette()[Placement.choice(slot)];
+  }
+
+  TimePoint Now{std::chrono::hours(1)};
+  Generation First = make(1, {1, 2, 3});
+  Generation Second = make(2, {1, 2});
+  ServicePlacement Placement{ServiceId{1}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Placement, Fixture)
+
+BOOST_AUTO_TEST_CASE(AnnouncedGenerationUnsettlesTheSlotsItMoves) {
+  use(First);
+  BOOST_TEST(Placement.unsettledSlots().empty());
+  Placement.add(Second);
+  BOOST_TEST(!Placement.unsettledSlots().empty());
+  for (std::uint32_t slot = 0; slot < Placement.slots(); ++slot) {
+    const auto old = buildSlotTable(ServiceId{1}, First.Upstreams, 1024)[slot];
+    // New flows still go by the active one.
+    BOOST_TEST((choiceOf(slot) == First.Upstreams[old].Id));
+    if (old == 2)
+      BOOST_TEST(!Placement.isSettled(slot));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UnknownFlowBelongsToTheFormerUpstreamUntilAllAreHeard) {
+  use(First);
+  Now += IdleLimit;
+  use(Second);
+  const auto slot = Placement.unsettledSlots().front();
+  auto all = Placement.candidates(slot, Now, IdleLimit);
+  BOOST_REQUIRE(all.size() == 2U);
+  BOOST_TEST((all.back() == choiceOf(slot)));
+  all = Placement.candidates(slot, Now + IdleLimit, IdleLimit);
+  BOOST_TEST((all.front() == choiceOf(slot)));
+}
+
+BOOST_AUTO_TEST_CASE(SettlingAllSlotsForgetsTheFormerGeneration) {
+  use(First);
+  use(Second);
+  const auto slots = Placement.unsettledSlots();
+  Placement.settle(slots, Second.Id);
+  BOOST_TEST(Placement.unsettledSlots().empty());
+  BOOST_TEST(Placement.chainLength() == 1U);
+  BOOST_TEST(!Placement.add(First));
+}
+
+BOOST_AUTO_TEST_CASE(SettlingDoesNotReachLaterGenerations) {
+  use(First);
+  use(Second);
+  const auto slots = Placement.unsettledSlots();
+  Placement.add(make(3, {1, 2, 3}));
+  Placement.settle(slots, Second.Id);
+  BOOST_TEST(!Placement.unsettledSlots().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReturningUpstreamIsNotAFormerOne) {
+  use(First);
+  use(Second);
+  use(make(3, {1, 2, 3}));
+  for (auto slot : Placement.unsettledSlots())
+    for (auto id : Placement.candidates(slot, Now, IdleLimit))
+      BOOST_TEST((id == choiceOf(slot) || raw(id) < 3U));
+}
+
+BOOST_AUTO_TEST_CASE(ChainIsBoundedAndKeepsTheActiveGeneration) {
+  use(First);
+  for (std::uint64_t n = 2; n < 30; ++n)
+    Placement.add(make(n, {1, 2}));
+  BOOST_TEST(Placement.chainLength() <= ServicePlacement::MaxChain);
+  BOOST_TEST((Placement.activeId() == First.Id));
+  BOOST_TEST(Placement.isActive());
+}
+
+BOOST_AUTO_TEST_CASE(MergedStateIsTheSameAtThePeer) {
+  use(First);
+  use(Second);
+  Placement.settle(std::span(Placement.unsettledSlots()).first(5), Second.Id);
+  ServicePlacement peer(ServiceId{1});
+  BOOST_TEST(peer.merge(Placement.state(), Now));
+  BOOST_TEST(peer.stateHash() == Placement.stateHash());
+  BOOST_TEST(peer.unsettledSlots() == Placement.unsettledSlots(),
+             boost::test_tools::per_element());
+  BOOST_TEST(!peer.merge(Placement.state(), Now));
+}
+
+BOOST_AUTO_TEST_CASE(LowerGenerationDoesNotBecomeActiveAgain) {
+  use(Second);
+  BOOST_TEST(!Placement.activate(First.Id, Now));
+  BOOST_TEST((Placement.activeId() == Second.Id));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
