--- /dev/null
+++ b/src/process/program.h
@@ -0,0 +1,81 @@
+/// \file
+/// What every daemon shares: command line, settings check, signals.
+///
+/// Example:
+/// \code
+///   auto main(int argc, char **argv) -> int {
+///     return runProgram<Settings>(argc, argv, {"name", "what it does"},
+///                                 readSettings, run);
+///   }
+/// \endcode
+#ifndef BORAGEBRIDGE_PROCESS_PROGRAM_H
+#define BORAGEBRIDGE_PROCESS_PROGRAM_H
+
+#include "absl/status/statusor.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace boragebridge {
+
+/// Exit statuses of the daemons.
+inline constexpr int ExitOk = 0;
+inline constexpr int ExitFailure = 1;
+inline constexpr int ExitUsage = 2;
+
+struct ProgramInfo {
+  std::string Name;
+  std::string Summary;
+};
+
+/// What the command line asked for.
+struct ProgramOptions {
+  std::string SettingsPath;
+  bool CheckOnly = false;
+};
+
+/// Parses the command line. Returns the exit status when the program is to end
+/// at once (--help, --version, a usage error), nothing otherwise.
+auto parseProgramOptions(int argc, char **argv, const ProgramInfo &info,
+                         ProgramOptions &out) -> std::optional<int>;
+
+/// Writes "NAME: error: ..." to standard error and returns ExitFailure.
+auto reportFailure(const ProgramInfo &info, const absl::Status &why) -> int;
+
+/// Reports that --check found no error, and returns ExitOk.
+auto reportChecked(const ProgramInfo &info, const std::string &path) -> int;
+
+/// Calls \p stop once, at the first SIGTERM or SIGINT. Must outlive the run of
+/// its io_context.
+class StopSignal {
+public:
+  StopSignal(boost::asio::io_context &io, std::function<void()> stop);
+
+private:
+  boost::asio::signal_set Signals;
+};
+
+/// Parses, reads the settings, and runs. Returns the exit status.
+template <typename Settings>
+auto runProgram(int argc, char **argv, const ProgramInfo &info,
+                absl::StatusOr<Settings> (*read)(const std::string &path),
+                absl::Status (*run)(const Settings &)) -> int {
+  ProgramOptions opt;
+  if (auto status = parseProgramOptions(argc, argv, info, opt))
+    return *status;
+  auto settings = read(opt.SettingsPath);
+  if (!settings.ok())
+    return reportFailure(info, settings.status());
+  if (opt.CheckOnly)
+    return reportChecked(info, opt.SettingsPath);
+  auto status = run(*settings);
+  return status.ok() ? ExitOk : reportFailure(info, status);
+}
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/tools/boragebridge_platform_standin.cpp
@@ -0,0 +1,280 @@
+/// \file
+/// Stand-in for the platform's object API, for demos and tests on one machine.
+///
+/// Besides the API it takes `POST /standin/faults?mode=MODE`:
+///   none            answers as it should
+///   down            503 to every call, nothing done
+///   refuse          429 to every call, nothing done
+///   slow            answers two seconds late
+///   lose-answers    does what it is asked and never answers
+///   silent-watches  opens watches and never ends them
+#include "fakes/object_store.h"
+#include "logging/process_events.h"
+#include "logging/process_log.h"
+#include "net/http_server.h"
+#include "net/object_json.h"
+#include "process/program.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <boost/url/parse.hpp>
+
+#include <charconv>
+
+namespace boragebridge {
+
+namespace {
+
+namespace asio = boost::asio;
+
+struct Settings {
+  Endpoint Listen;
+  fakes::ObjectStoreLimits Limits;
+  LogSettings Log;
+};
+
+enum class Fault : std::uint8_t {
+  None,
+  Down,
+  Refuse,
+  Slow,
+  LoseAnswers,
+  SilentWatches,
+};
+
+struct FaultName {
+  std::string_view Name;
+  Fault Value;
+};
+
+constexpr std::array FaultNames{
+    FaultName{"none", Fault::None},
+    FaultName{"down", Fault::Down},
+    FaultName{"refuse", Fault::Refuse},
+    FaultName{"slow", Fault::Slow},
+    FaultName{"lose-answers", Fault::LoseAnswers},
+    FaultName{"silent-watches", Fault::SilentWatches},
+};
+
+constexpr auto SlowDelay = std::chrono::seconds(2);
+constexpr auto PollInterval = std::chrono::milliseconds(10);
+constexpr std::string_view ObjectsPath = "/v1/objects";
+
+/// The parts of a request's target.
+struct Target {
+  std::string Path;
+  std::map<std::string, std::string> Query;
+
+  auto number(const std::string &name) const -> std::uint64_t {
+    std::uint64_t n = 0;
+    auto it = Query.find(name);
+    if (it != Query.end())
+      std::from_chars(it->second.data(), it->second.data() + it->second.size(),
+                      n);
+    return n;
+  }
+  auto text(const std::string &name) const -> std::string {
+    auto it = Query.find(name);
+    return it == Query.end() ? "" : it->second;
+  }
+};
+
+auto parseTarget(const std::string &s) -> Target {
+  Target out;
+  auto url = boost::urls::parse_origin_form(s);
+  if (!url)
+    return out;
+  out.Path = decodeUrlText(std::string(url->encoded_path()));
+  for (auto it : url->params())
+    out.Query[it.key] = it.value;
+  return out;
+}
+
+auto toHttpStatus(const absl::Status &s) -> unsigned {
+  switch (s.code()) {
+  case absl::StatusCode::kNotFound:
+    return 404;
+  case absl::StatusCode::kAborted:
+    return 409;
+  case absl::StatusCode::kResourceExhausted:
+    return 429;
+  case absl::StatusCode::kInvalidArgument:
+    return 413;
+  default:
+    return 503;
+  }
+}
+
+class Standin {
+public:
+  Standin(asio::io_context &io, const Settings &s)
+      : Io(io), Store(Time, s.Limits), Timer(io) {
+    poll();
+  }
+
+  auto handle(const HttpRequest &r, const HttpRespond &respond) -> void {
+    const auto target = parseTarget(r.Target);
+    if (target.Path == "/state")
+      return respond({200, "application/json", dump(), {}});
+    if (target.Path == "/standin/faults")
+      return setFault(target, respond);
+    if (Mode == Fault::Down)
+      return respond({503, "application/json", "{}", {}});
+    if (Mode == Fault::Refuse)
+      return respond({429, "application/json", "{}", {}});
+    if (target.Path == "/v1/watch")
+      return watch(target, respond);
+    answer(callStore(r, target), respond);
+  }
+
+private:
+  auto setFault(const Target &t, const HttpRespond &respond) -> void {
+    const auto mode = t.text("mode");
+    for (const auto &it : FaultNames)
+      if (it.Name == mode) {
+        Mode = it.Value;
+        return respond({200, "application/json", dump(), {}});
+      }
+    respond({400, "text/plain", "unknown mode '" + mode + "'\n", {}});
+  }
+
+  auto callStore(const HttpRequest &r, const Target &t) -> HttpResponse {
+    if (t.Path == ObjectsPath && r.Method == "GET")
+      return toResponse(Store.list(t.text("prefix")), formatObjectList);
+    if (!t.Path.starts_with(std::string(ObjectsPath) + "/"))
+      return {404, "application/json", "{}", {}};
+    const auto key = t.Path.substr(ObjectsPath.size() + 1);
+    if (r.Method == "GET")
+      return toResponse(Store.get(key), formatObject);
+    if (r.Method == "DELETE")
+      return toWriteResponse(key, Store.remove(key, t.number("expected")));
+    if (r.Method != "PUT")
+      return {405, "application/json", "{}", {}};
+    auto value = parseValue(r.Body);
+    if (!value.ok())
+      return {400, "text/plain", std::string(value.status().message()), {}};
+    return toWriteResponse(
+        key, Store.put(key, *std::move(value), t.number("expected")));
+  }
+
+  template <typename T, typename Format>
+  static auto toResponse(const absl::StatusOr<T> &v, Format format)
+      -> HttpResponse {
+    if (!v.ok())
+      return {toHttpStatus(v.status()), "application/json", "{}", {}};
+    return {200, "application/json", format(*v), {}};
+  }
+
+  auto toWriteResponse(const std::string &key,
+                       const absl::StatusOr<ObjectVersion> &v) -> HttpResponse {
+    if (!v.ok() && v.status().code() == absl::StatusCode::kAborted)
+      return {409,
+              "application/json",
+              formatVersion(Store.currentVersion(key)),
+              {}};
+    return toResponse(v, formatVersion);
+  }
+
+  auto watch(const Target &t, const HttpRespond &respond) -> void {
+    if (Mode == Fault::SilentWatches)
+      return hold(respond);
+    const auto wait = std::chrono::milliseconds(t.number("wait_ms"));
+    Store.watch(t.text("prefix"), t.number("after"), wait,
+                [this, respond](const absl::StatusOr<ObjectList> &l) {
+                  answer(toResponse(l, formatObjectList), respond);
+                });
+  }
+
+  auto answer(HttpResponse r, const HttpRespond &respond) -> void {
+    if (Mode == Fault::LoseAnswers)
+      return hold(respond);
+    if (Mode != Fault::Slow)
+      return respond(std::move(r));
+    auto timer = std::make_shared<asio::steady_timer>(Io, SlowDelay);
+    timer->async_wait([timer, respond, r = std::move(r)](auto) mutable {
+      respond(std::move(r));
+    });
+  }
+
+  /// Keeps a connection open without an answer; the oldest is given up at the
+  /// limit.
+  auto hold(const HttpRespond &respond) -> void {
+    constexpr std::size_t HeldLimit = 128;
+    Held.push_back(respond);
+    if (Held.size() > HeldLimit)
+      Held.pop_front();
+  }
+
+  auto dump() const -> std::string {
+    const auto &c = Store.calls();
+    return boost::json::serialize(
+        boost::json::object{{"gets", c.Gets},
+                            {"lists", c.Lists},
+                            {"puts", c.Puts},
+                            {"removes", c.Removes},
+                            {"watches", c.Watches},
+                            {"over_limit", c.OverLimit},
+                            {"open_watches", Store.openWatches()}});
+  }
+
+  auto poll() -> void {
+    Store.poll();
+    Timer.expires_after(PollInterval);
+    Timer.async_wait([this](auto ec) {
+      if (!ec)
+        poll();
+    });
+  }
+
+  asio::io_context &Io;
+  SteadyClock Time;
+  fakes::ObjectStore Store;
+  asio::steady_timer Timer;
+  Fault Mode = Fault::None;
+  std::deque<HttpRespond> Held;
+};
+
+auto readSettings(const std::string &path) -> absl::StatusOr<Settings> {
+  auto root = SettingsReader::fromFile(path);
+  if (!root.ok())
+    return root.status();
+  constexpr Range<double> Rate{1, 1e6};
+  Settings s;
+  s.Listen = root->endpoint("listen");
+  s.Limits.ReadsPerSecond = root->real("reads_per_second", Rate, 2000);
+  s.Limits.WritesPerSecond = root->real("writes_per_second", Rate, 300);
+  s.Log = LogSettings::read(root->section("log"));
+  if (auto status = root->finish(); !status.ok())
+    return status;
+  return s;
+}
+
+auto run(const Settings &s) -> absl::Status {
+  ProcessLog log("platform_standin", s.Log);
+  asio::io_context io;
+  Standin standin(io, s);
+  auto server =
+      HttpServer::open(io, s.Listen, [&standin](const auto &r, auto respond) {
+        standin.handle(r, respond);
+      });
+  if (!server.ok())
+    return server.status();
+  StopSignal stop(io, [&io] { io.stop(); });
+  log.write(events::ProcessStarted, {{"listen", toString(s.Listen)}});
+  io.run();
+  log.write(events::ProcessStopped, {});
+  return absl::OkStatus();
+}
+
+} // namespace
+
+} // namespace boragebridge
+
+auto main(int argc, char **argv) -> int {
+  using namespace boragebridge;
+  return runProgram<Settings>(
+      argc, argv,
+      {"boragebridge_platform_standin",
+       "Stand-in for the platform's object API, for demos and tests"},
+      readSettings, run);
+}
--- /dev/null
+++ b/tools/boragebridged.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// An entry instance as a process: the library's Instance on Boost.Asio.
+///
+/// One address serves peers (TCP) and packets (UDP). HTTP: the administration
+/// API under /v1, `/metrics`, `/state`, and `/ready` (200 while it takes new
+/// packets). SIGTERM begins a planned stop.
+#include "boragebridge/instance.h"
+#include "logging/process_events.h"
+#include "logging/process_log.h"
+#include "net/http_platform_client.h"
+#include "net/http_server.h"
+#include "net/instance_packets.h"
+#include "net/tcp_peer_link.h"
+#include "process/program.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace boragebridge {
+
+namespace {
+
+namespace asio = boost::asio;
+
+struct Settings {
+  InstanceIdentity Self;
+  Endpoint Fabric;
+  Endpoint Http;
+  Endpoint Platform;
+  Duration StopLimit{};
+  LogSettings Log;
+};
+
+/// The instance and everything around it.
+class Daemon {
+public:
+  explicit Daemon(const Settings &s)
+      : Options(s), Log(s.Self.Name, s.Log), Platform(Io, s.Platform),
+        Timer(Io), Stop(Io, [this] { beginStop(); }) {
+    Options.Self.Number = Incarnation{Random.next()};
+  }
+
+  auto run() -> absl::Status {
+    if (auto status = open(); !status.ok())
+      return status;
+    Log.write(events::ProcessStarted,
+              {{"address", toString(Options.Self.PeerAddress)},
+               {"http", toString(Options.Http)}});
+    It->start();
+    tick();
+    Io.run();
+    Log.write(events::ProcessStopped, {});
+    return absl::OkStatus();
+  }
+
+private:
+  auto open() -> absl::Status {
+    auto socket = PacketSocket::open(Io, Options.Self.PeerAddress);
+    if (!socket.ok())
+      return socket.status();
+    Socket = *std::move(socket);
+    Packets = std::make_unique<InstancePackets>(*Socket, Options.Fabric);
+    auto peers = TcpPeerLink::open(Io, Options.Self, Time, Random, Log);
+    if (!peers.ok())
+      return peers.status();
+    Peers = *std::move(peers);
+    It = std::make_unique<Instance>(
+        Options.Self,
+        Environment{Time, Random, *Packets, *Peers, Platform, Log});
+    Peers->start([this](const auto &f) { return It->onPeerFrame(f); });
+    Socket->start([this](const auto &from, const auto &p) {
+      It->onPacket(Packets->originOf(from), from, p);
+    });
+    auto server =
+        HttpServer::open(Io, Options.Http, [this](const auto &r, auto respond) {
+          handle(r, respond);
+        });
+    if (!server.ok())
+      return server.status();
+    Server = *std::move(server);
+    return absl::OkStatus();
+  }
+
+  auto tick() -> void {
+    It->tick();
+    const auto now = Time.now();
+    if (Stopping && (It->isStopped() || now - StopBegan > Options.StopLimit))
+      return Io.stop();
+    Timer.expires_after(Instance::TickInterval);
+    Timer.async_wait([this](auto ec) {
+      if (!ec)
+        tick();
+    });
+  }
+
+  auto beginStop() -> void {
+    Log.write(events::ProcessStopping, {});
+    Stopping = true;
+    StopBegan = Time.now();
+    It->beginStop();
+  }
+
+  auto handle(const HttpRequest &r, const HttpRespond &respond) -> void {
+    if (r.Target == "/ready")
+      return respond({isReady() ? 200U : 503U, "text/plain", "", {}});
+    if (r.Target == "/state")
+      return respond({200, "application/json", It->dumpState(), {}});
+    if (r.Target == "/metrics") {
+      publishTransportMetrics();
+      return respond(
+          {200, "text/plain; version=0.0.4", It->metrics().renderText(), {}});
+    }
+    respond({404, "text/plain", "no such path\n", {}});
+  }
+
+  auto isReady() -> bool {
+    return !Stopping && It->board().Readiness.read()->MayServe;
+  }
+
+  auto publishTransportMetrics() -> void {
+    auto &m = It->metrics();
+    const auto &p = Peers->counts();
+    const auto &s = Socket->counts();
+    const auto set = [&m](const char *name, const char *help, auto v) {
+      m.gauge(name, help).set(static_cast<double>(v));
+    };
+    set("peer_frames_sent", "Peer frames sent", p.FramesSent);
+    set("peer_frames_received", "Peer frames received", p.FramesReceived);
+    set("peer_bytes_sent", "Bytes of peer frames sent", p.BytesSent);
+    set("peer_frames_dropped", "Peer frames dropped at a limit",
+        p.FramesDropped);
+    set("peer_frames_queued", "Peer frames that wait", Peers->queuedFrames());
+    set("peer_connections_cut_malformed", "Peer connections cut: malformed",
+        p.CutMalformed);
+    set("peer_connections_cut_silent", "Peer connections cut: no progress",
+        p.CutSilent);
+    set("packets_sent", "Datagrams sent", s.Sent);
+    set("packets_received", "Datagrams received", s.Received);
+    set("packets_malformed", "Datagrams that did not verify", s.Malformed);
+    set("packets_send_failed", "Datagrams that could not be sent",
+        s.SendFailed);
+  }
+
+  Settings Options;
+  SteadyClock Time;
+  SystemRandom Random;
+  ProcessLog Log;
+  asio::io_context Io{1};
+  HttpPlatformClient Platform;
+  std::unique_ptr<PacketSocket> Socket;
+  std::unique_ptr<InstancePackets> Packets;
+  std::unique_ptr<TcpPeerLink> Peers;
+  std::unique_ptr<Instance> It;
+  std::unique_ptr<HttpServer> Server;
+  asio::steady_timer Timer;
+  StopSignal Stop;
+  bool Stopping = false;
+  TimePoint StopBegan;
+};
+
+auto readSettings(const std::string &path) -> absl::StatusOr<Settings> {
+  auto root = SettingsReader::fromFile(path);
+  if (!root.ok())
+    return root.status();
+  using namespace std::chrono_literals;
+  Settings s;
+  s.Self.Name = root->text("name");
+  s.Self.Id = idFromName<InstanceId>(s.Self.Name);
+  s.Self.DataCentre = idFromName<DataCentreId>(root->text("data_centre"));
+  s.Self.PeerAddress = root->endpoint("address");
+  s.Self.Seeds = root->endpoints("seeds");
+  s.Fabric = root->endpoint("fabric");
+  s.Http = root->endpoint("http");
+  s.Platform = root->endpoint("platform");
+  s.StopLimit = root->duration("stop_limit", {1s, 1h}, 30s);
+  s.Log = LogSettings::read(root->section("log"));
+  if (auto status = root->finish(); !status.ok())
+    return status;
+  return s;
+}
+
+auto run(const Settings &s) -> absl::Status { return Daemon(s).run(); }
+
+} // namespace
+
+} // namespace boragebridge
+
+auto main(int argc, char **argv) -> int {
+  using namespace boragebridge;
+  return runProgram<Settings>(
+      argc, argv, {"boragebridged", "An entry instance"}, readSettings, run);
+}
