--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,10 +1,12 @@
 #include "boragebridge/instance.h"
 
+#include "request/request_controller.h"
+
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
-  static_cast<void>(ctx);
   ControllerList all;
+  all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
 
--- a/src/request/caller.cpp
+++ b/src/request/caller.cpp
@@ -82,8 +82,7 @@
   e.Sealed.clear();
   e.Answer = {};
   e.Interval = Settings.Retransmit;
-  if (!takeTicket(e) && e.Spec.MayRepeat)
-    e.Number = Random.next() | 1U;
+  static_cast<void>(takeTicket(e));
   send(e);
 }
 
--- /dev/null
+++ b/src/request/dispatcher.cpp
@@ -0,0 +1,361 @@
+#include "request/dispatcher.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace boragebridge {
+
+namespace {
+
+/// Weight of the newest run in the typical run time.
+constexpr int TypicalShare = 8;
+/// Queue that is allowed while no slot is held yet.
+constexpr std::size_t QueueWithoutSlots = 16;
+/// Rest of a slot whose upstream refused.
+constexpr Duration RefusalRest = std::chrono::milliseconds(100);
+constexpr Duration PressurePeriod = std::chrono::milliseconds(100);
+
+auto toMilliseconds(Duration d) -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::chrono::floor<std::chrono::milliseconds>(d).count());
+}
+
+} // namespace
+
+auto digestRequest(ServiceId s, ByteView body) -> std::uint64_t {
+  return XXH3_64bits_withSeed(body.data(), body.size(), raw(s));
+}
+
+Dispatcher::Dispatcher(const ControllerContext &ctx, Ledger &own,
+                       ReplySender &replies, UpstreamObserver *observer)
+    : Ctx(ctx), Own(own), Replies(replies), Observer(observer), Slots(ctx),
+      NextAttempt(static_cast<std::uint32_t>(ctx.Random.next())),
+      Sent(ctx.Metrics.counter("request_executes_total",
+                               "Attempts sent to upstreams")),
+      OwnRetries(ctx.Metrics.counter(
+          "request_own_retries_total",
+          "Attempts repeated after an upstream refused to run one")),
+      UpstreamRefusals(ctx.Metrics.counter("request_upstream_refusals_total",
+                                           "Attempts that upstreams refused")),
+      Timeouts(
+          ctx.Metrics.counter("request_timeouts_total",
+                              "Attempts without a result at their deadline")),
+      LateResults(ctx.Metrics.counter("request_late_results_total",
+                                      "Results taken after the deadline")),
+      StrayResults(
+          ctx.Metrics.counter("request_stray_results_total",
+                              "Results that match no attempt; dropped")),
+      CutAnswers(ctx.Metrics.counter(
+          "request_cut_answers_total",
+          "Answers of which a part was missing at the deadline")),
+      AdmissionRefusals(ctx.Metrics.counter(
+          "request_admission_refusals_total",
+          "Requests refused because the wait would be too long")) {}
+
+auto Dispatcher::expectedWait(ServiceId s) const -> Duration {
+  auto it = Services.find(s);
+  const auto typical =
+      it == Services.end() ? ServiceState{}.Typical : it->second.Typical;
+  const auto slots = std::max<std::size_t>(1, Slots.loanCount(s));
+  return typical * static_cast<std::int64_t>(Queue.size(s)) /
+         static_cast<std::int64_t>(slots);
+}
+
+auto Dispatcher::mayAdmit(const NewRequest &r, TimePoint) const -> bool {
+  if (!Slots.isServable(r.Service) || Requests.size() >= MaxRequests ||
+      BodyBytes + r.Body.size() > MaxBodyBytes)
+    return false;
+  if (Slots.loanCount(r.Service) == 0)
+    return Queue.size(r.Service) < QueueWithoutSlots &&
+           r.Remaining > Duration::zero();
+  const auto wait = expectedWait(r.Service);
+  auto it = Services.find(r.Service);
+  const auto typical =
+      it == Services.end() ? ServiceState{}.Typical : it->second.Typical;
+  return wait <= MaxQueueWait && wait + typical < r.Remaining;
+}
+
+auto Dispatcher::start(NewRequest r, TimePoint now) -> void {
+  const auto service = r.Service;
+  const auto attempt = NextAttempt++;
+  const auto deadline = now + r.Remaining;
+  if (!mayAdmit(r, now) || !Queue.push(service, {attempt, deadline})) {
+    AdmissionRefusals.add();
+    sayNotRun(r);
+    return;
+  }
+  BodyBytes += r.Body.size();
+  ++Active;
+  ByKey[{r.From.Caller, r.From.Number}] = attempt;
+  Requests[attempt] =
+      Request{std::move(r), State::Queued, deadline, {}, {}, {}, false};
+  Budget.noteFirstAttempt();
+  dispatch(service, now);
+  updateNeed(service, now);
+}
+
+auto Dispatcher::join(const ReplyTarget &from, std::uint64_t digest) -> bool {
+  auto it = ByKey.find({from.Caller, from.Number});
+  if (it == ByKey.end())
+    return false;
+  auto &r = Requests.at(it->second);
+  if (r.Content.Digest != digest || r.Now == State::Silent)
+    Replies.unknown(from, Finality::MayChange);
+  else
+    r.Content.From.Flow = from.Flow;
+  return true;
+}
+
+auto Dispatcher::cancel(const ReplyTarget &from) -> bool {
+  auto it = ByKey.find({from.Caller, from.Number});
+  if (it == ByKey.end())
+    return false;
+  const auto attempt = it->second;
+  auto &r = Requests.at(attempt);
+  r.Content.From.Flow = from.Flow;
+  if (r.Now == State::Silent) {
+    Replies.unknown(from, Finality::MayChange);
+    return true;
+  }
+  if (r.Now == State::Queued) {
+    Queue.remove(r.Content.Service, attempt);
+    refuse(attempt);
+    return true;
+  }
+  r.Cancelled = true;
+  rw::CancelT m;
+  m.caller = raw(from.Caller);
+  m.number = from.Number;
+  m.attempt = attempt;
+  Ctx.Packets.sendToUpstream(r.Slot.Address,
+                             {PacketKind::Cancel, from.Flow, encode(m)});
+  return true;
+}
+
+auto Dispatcher::dispatch(ServiceId s, TimePoint now) -> void {
+  while (Queue.size(s) != 0) {
+    const auto p = Slots.acquire(s, now);
+    if (!p)
+      return;
+    QueuedRequest q;
+    if (!Queue.pop(s, q))
+      return;
+    send(q.Attempt, Requests.at(q.Attempt), *p, now);
+  }
+}
+
+auto Dispatcher::send(std::uint32_t attempt, Request &r, const Permit &p,
+                      TimePoint now) -> void {
+  const auto &c = r.Content;
+  if (c.Sequence && !Own.markSent(*c.Sequence)) {
+    Slots.release(p, now);
+    Replies.unknown(c.From, Finality::Final);
+    erase(attempt);
+    return;
+  }
+  const auto limit = std::min(r.Deadline - now, PermitTerms::MaxExecution);
+  r.Now = State::Running;
+  r.Slot = p;
+  r.SentAt = now;
+  ++Services[c.Service].Running;
+  Timers.emplace(now + limit + PermitTerms::Margin, attempt);
+  rw::ExecuteT m;
+  m.service = raw(c.Service);
+  m.caller = raw(c.From.Caller);
+  m.number = c.From.Number;
+  m.attempt = attempt;
+  m.remaining_ms = std::max(1U, toMilliseconds(limit));
+  m.body = toWire(c.Body);
+  Sent.add();
+  if (Observer != nullptr)
+    Observer->onAccepted(p.Slot.Upstream);
+  Ctx.Packets.sendToUpstream(p.Address,
+                             {PacketKind::Execute, c.From.Flow, encode(m)});
+}
+
+auto Dispatcher::onResult(const Endpoint &peer, const rw::ResultT &m,
+                          TimePoint now) -> void {
+  auto it = Requests.find(m.attempt);
+  if (it == Requests.end() || it->second.Now == State::Queued ||
+      it->second.Slot.Address != peer ||
+      raw(it->second.Content.From.Caller) != m.caller ||
+      it->second.Content.From.Number != m.number) {
+    StrayResults.add();
+    return;
+  }
+  auto &r = it->second;
+  const auto service = r.Content.Service;
+  switch (m.outcome) {
+  case rw::ResultOutcome::Answered:
+    onAnswer(m.attempt, r, m, now);
+    break;
+  case rw::ResultOutcome::Refused:
+    onRefused(m.attempt, r, m, now);
+    break;
+  case rw::ResultOutcome::Stopped:
+    if (r.Now == State::Running)
+      endRun(r, now);
+    Replies.unknown(r.Content.From, Finality::Final);
+    erase(m.attempt);
+    break;
+  }
+  dispatch(service, now);
+  updateNeed(service, now);
+}
+
+auto Dispatcher::onAnswer(std::uint32_t attempt, Request &r,
+                          const rw::ResultT &m, TimePoint now) -> void {
+  r.Answer.add(m.chunk, m.chunks, m.digest, fromWire(m.body));
+  auto whole = r.Answer.take();
+  if (!whole)
+    return;
+  const auto latency = now - r.SentAt;
+  if (r.Now == State::Running) {
+    auto &typical = Services[r.Content.Service].Typical;
+    typical += (latency - typical) / TypicalShare;
+    endRun(r, now);
+    if (Observer != nullptr)
+      Observer->onAnswer(r.Slot.Slot.Upstream, latency);
+  } else {
+    LateResults.add();
+  }
+  auto body = std::make_shared<const Bytes>(std::move(*whole));
+  if (r.Content.Sequence)
+    Own.keep(*r.Content.Sequence, r.Content.Digest, body, now);
+  Replies.answer(r.Content.From, *body);
+  erase(attempt);
+}
+
+/// The upstream ran none of it: another attempt is safe, under a new number
+/// of attempt so that a copy of this refusal is not taken for its result.
+auto Dispatcher::onRefused(std::uint32_t attempt, Request &r,
+                           const rw::ResultT &m, TimePoint now) -> void {
+  UpstreamRefusals.add();
+  if (Observer != nullptr) {
+    constexpr auto LastReason =
+        static_cast<std::uint8_t>(RefusalReason::Unavailable);
+    Observer->onRefusal(
+        r.Slot.Slot.Upstream,
+        static_cast<RefusalReason>(std::min(m.reason, LastReason)));
+  }
+  if (r.Content.Sequence)
+    Own.unmarkSent(*r.Content.Sequence);
+  const auto isLate = r.Now == State::Silent;
+  if (!isLate)
+    endRun(r, now + Ctx.Random.jitter(RefusalRest));
+  if (isLate || r.Cancelled || r.Deadline <= now || !Budget.take())
+    return refuse(attempt);
+  OwnRetries.add();
+  const auto next = NextAttempt++;
+  auto moved = Requests.extract(attempt);
+  moved.key() = next;
+  moved.mapped().Now = State::Queued;
+  moved.mapped().Answer = {};
+  ByKey[{moved.mapped().Content.From.Caller,
+         moved.mapped().Content.From.Number}] = next;
+  Queue.pushFront(moved.mapped().Content.Service,
+                  {next, moved.mapped().Deadline});
+  Requests.insert(std::move(moved));
+}
+
+/// Frees the slot of \p r.
+auto Dispatcher::endRun(Request &r, TimePoint restUntil) -> void {
+  --Services[r.Content.Service].Running;
+  Slots.release(r.Slot, restUntil);
+}
+
+/// Closes a request that has provably not run.
+auto Dispatcher::refuse(std::uint32_t attempt) -> void {
+  sayNotRun(Requests.at(attempt).Content);
+  erase(attempt);
+}
+
+auto Dispatcher::sayNotRun(const NewRequest &r) -> void {
+  if (!r.Sequence)
+    return Replies.unknown(r.From, Finality::MayChange);
+  Own.closeNotRun(*r.Sequence);
+  Replies.refuse(r.From, retryAfter(expectedWait(r.Service), Ctx.Random));
+}
+
+auto Dispatcher::erase(std::uint32_t attempt) -> void {
+  auto it = Requests.find(attempt);
+  const auto &c = it->second.Content;
+  Active -= it->second.Now == State::Silent ? 0 : 1;
+  BodyBytes -= c.Body.size();
+  ByKey.erase({c.From.Caller, c.From.Number});
+  Requests.erase(it);
+}
+
+/// The upstream has surely stopped by now; a result may still be on its way.
+auto Dispatcher::onTimer(std::uint32_t attempt, TimePoint now) -> void {
+  auto it = Requests.find(attempt);
+  if (it == Requests.end())
+    return;
+  auto &r = it->second;
+  if (r.Now == State::Silent || !r.Content.Sequence) {
+    if (r.Now == State::Running)
+      endRun(r, now);
+    return erase(attempt);
+  }
+  Timeouts.add();
+  if (Observer != nullptr)
+    Observer->onTimeout(r.Slot.Slot.Upstream);
+  endRun(r, now);
+  --Active;
+  r.Now = State::Silent;
+  BodyBytes -= r.Content.Body.size();
+  r.Content.Body.clear();
+  if (r.Answer.isStarted()) {
+    CutAnswers.add();
+    Own.markRun(*r.Content.Sequence);
+  }
+  Timers.emplace(now + KeepSilent, attempt);
+}
+
+auto Dispatcher::tick(TimePoint now) -> void {
+  while (!Timers.empty() && Timers.begin()->first <= now) {
+    const auto attempt = Timers.begin()->second;
+    Timers.erase(Timers.begin());
+    onTimer(attempt, now);
+  }
+  Slots.tick(now);
+  for (const auto s : Queue.services()) {
+    for (const auto &q : Queue.takeLate(s, now + Services[s].Typical))
+      refuse(q.Attempt);
+    dispatch(s, now);
+    updateNeed(s, now);
+  }
+  publishPressure(now);
+}
+
+auto Dispatcher::updateNeed(ServiceId s, TimePoint now) -> void {
+  Slots.setNeed(
+      s, {static_cast<std::uint32_t>(Queue.size(s)), Services[s].Running}, now);
+  dispatch(s, now);
+}
+
+auto Dispatcher::publishPressure(TimePoint now) -> void {
+  if (now < NextPressure)
+    return;
+  NextPressure = now + PressurePeriod;
+  OverloadView view;
+  for (const auto s : Queue.services()) {
+    const auto share = static_cast<double>(expectedWait(s).count()) /
+                       static_cast<double>(MaxQueueWait.count());
+    view.Pressure[s] = std::min(1.0, share);
+  }
+  if (view.Pressure != Ctx.Board.Overload.read()->Pressure)
+    Ctx.Board.Overload.publish(std::move(view));
+}
+
+auto Dispatcher::onPoolFrame(RequestMessage kind, const PeerFrame &f,
+                             TimePoint now) -> bool {
+  if (!Slots.onFrame(kind, f, now))
+    return false;
+  for (const auto s : Queue.services())
+    dispatch(s, now);
+  return true;
+}
+
+} // namespace boragebridge
--- a/src/request/messages.h
+++ b/src/request/messages.h
@@ -23,6 +23,7 @@
   LedgerPartAck = 6,
   Successor = 7,
   SuccessorAck = 8,
+  PoolClaim = 9,
 };
 
 /// Frame kind of \p m.
--- /dev/null
+++ b/src/request/permit_holder.cpp
@@ -0,0 +1,123 @@
+#include "request/permit_holder.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+namespace {
+
+/// Demands without an answer that are remembered.
+constexpr std::size_t MaxSentDemands = 64;
+
+} // namespace
+
+auto PermitHolder::setKeeper(const std::optional<HolderId> &keeper) -> void {
+  if (Keeper == keeper)
+    return;
+  Keeper = keeper;
+  Seen = 0;
+  Keep = UINT32_MAX;
+  Unmet = 0;
+  SentDemands.clear();
+  MustTell = keeper.has_value();
+}
+
+auto PermitHolder::acquire(TimePoint now) -> std::optional<SlotId> {
+  if (now >= ValidUntil)
+    return std::nullopt;
+  auto it = std::find_if(Loans.begin(), Loans.end(), [now](const Loan &l) {
+    return !l.Busy && l.RestUntil <= now;
+  });
+  if (it == Loans.end())
+    return std::nullopt;
+  it->Busy = true;
+  return it->Content.Slot;
+}
+
+auto PermitHolder::release(const SlotId &slot, TimePoint restUntil) -> void {
+  auto it = std::find_if(Loans.begin(), Loans.end(), [&slot](const Loan &l) {
+    return l.Content.Slot == slot && l.Busy;
+  });
+  if (it == Loans.end())
+    return;
+  it->Busy = false;
+  it->RestUntil = restUntil;
+  if (it->Revoked) {
+    Loans.erase(it);
+    MustTell = true;
+  }
+  shrinkTo(Keep);
+}
+
+/// Returns idle loans beyond \p keep.
+auto PermitHolder::shrinkTo(std::uint32_t keep) -> void {
+  for (auto it = Loans.begin(); it != Loans.end() && Loans.size() > keep;) {
+    if (it->Busy) {
+      ++it;
+      continue;
+    }
+    it = Loans.erase(it);
+    MustTell = true;
+  }
+}
+
+auto PermitHolder::makeDemand(TimePoint now, std::uint32_t wanted,
+                              std::uint32_t load) -> PoolDemand {
+  PoolDemand d{++Sequence, Seen, wanted, load, {}};
+  for (const auto &l : Loans)
+    d.Held.push_back(l.Content);
+  SentDemands.push_back({d.Sequence, now});
+  if (SentDemands.size() > MaxSentDemands)
+    SentDemands.pop_front();
+  MustTell = false;
+  return d;
+}
+
+auto PermitHolder::onLend(const HolderId &from, const PoolLend &m,
+                          TimePoint now) -> void {
+  if (Keeper != from)
+    return;
+  while (!SentDemands.empty() && SentDemands.front().Sequence < m.Sequence)
+    SentDemands.pop_front();
+  if (SentDemands.empty() || SentDemands.front().Sequence != m.Sequence)
+    return;
+  ValidUntil = std::max(ValidUntil, SentDemands.front().At + PermitTerms::Term);
+  Unmet = m.Unmet;
+  Keep = m.Keep;
+  auto listed = [&m](const Loan &l) {
+    return std::any_of(m.Loans.begin(), m.Loans.end(), [&l](const auto &v) {
+      return v.Slot == l.Content.Slot;
+    });
+  };
+  std::erase_if(Loans, [&](const Loan &l) { return !l.Busy && !listed(l); });
+  for (auto &l : Loans)
+    l.Revoked = !listed(l);
+  auto highest = Seen;
+  for (const auto &loan : m.Loans) {
+    highest = std::max(highest, loan.Grant);
+    auto it = std::find_if(Loans.begin(), Loans.end(), [&](const Loan &l) {
+      return l.Content.Slot == loan.Slot;
+    });
+    if (it != Loans.end())
+      it->Content.Grant = loan.Grant;
+    else if (loan.Grant > Seen && now < ValidUntil)
+      Loans.push_back({loan, false, false, {}});
+  }
+  Seen = highest;
+  shrinkTo(Keep);
+}
+
+auto PermitHolder::tick(TimePoint now) -> bool {
+  if (now >= ValidUntil)
+    MustTell |= std::erase_if(Loans, [](const Loan &l) { return !l.Busy; }) > 0;
+  return MustTell;
+}
+
+auto PermitHolder::returnIdle() -> void { shrinkTo(0); }
+
+auto PermitHolder::idleCount() const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      Loans.begin(), Loans.end(), [](const Loan &l) { return !l.Busy; }));
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/request/permit_holder.h
@@ -0,0 +1,75 @@
+/// \file
+/// The borrowing side of one pool at one instance.
+#ifndef BORAGEBRIDGE_REQUEST_PERMIT_HOLDER_H
+#define BORAGEBRIDGE_REQUEST_PERMIT_HOLDER_H
+
+#include "request/permit.h"
+#include "request/permit_keeper.h"
+
+#include <deque>
+#include <optional>
+
+namespace boragebridge {
+
+/// The loans of one instance from one pool. Not thread-safe.
+class PermitHolder {
+public:
+  /// Obeys \p keeper from now on. Loans of the one before are kept until they
+  /// run out, and are reported to the new one.
+  auto setKeeper(const std::optional<HolderId> &keeper) -> void;
+  auto keeper() const -> const std::optional<HolderId> & { return Keeper; }
+
+  /// An idle loan that may start work at \p now, marked as busy.
+  auto acquire(TimePoint now) -> std::optional<SlotId>;
+  /// The work under \p slot has ended. It may start new work from \p restUntil
+  /// on; later than now after a refusal.
+  auto release(const SlotId &slot, TimePoint restUntil) -> void;
+
+  /// The state to send at \p now.
+  auto makeDemand(TimePoint now, std::uint32_t wanted, std::uint32_t load)
+      -> PoolDemand;
+  /// State \p m from \p from. Ignored when \p from is not the keeper.
+  auto onLend(const HolderId &from, const PoolLend &m, TimePoint now) -> void;
+  /// Drops loans that ran out. Returns true when the keeper should be told
+  /// before the next renewal.
+  auto tick(TimePoint now) -> bool;
+  /// Gives up all idle loans, for a stop.
+  auto returnIdle() -> void;
+
+  auto loanCount() const -> std::size_t { return Loans.size(); }
+  auto idleCount() const -> std::size_t;
+  auto busyCount() const -> std::size_t { return Loans.size() - idleCount(); }
+  /// Slots that the pool was short of when last heard.
+  auto unmet() const -> std::uint32_t { return Unmet; }
+  /// True while the keeper answers.
+  auto isServed(TimePoint now) const -> bool { return now < ValidUntil; }
+
+private:
+  struct Loan {
+    SlotLoan Content;
+    bool Busy = false;
+    /// Not to be used again when the work under it ends.
+    bool Revoked = false;
+    TimePoint RestUntil;
+  };
+  struct SentDemand {
+    std::uint64_t Sequence;
+    TimePoint At;
+  };
+
+  auto shrinkTo(std::uint32_t keep) -> void;
+
+  std::optional<HolderId> Keeper;
+  std::vector<Loan> Loans;
+  std::deque<SentDemand> SentDemands;
+  std::uint64_t Sequence = 0;
+  std::uint64_t Seen = 0;
+  std::uint32_t Keep = UINT32_MAX;
+  std::uint32_t Unmet = 0;
+  TimePoint ValidUntil{};
+  bool MustTell = false;
+};
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/request/permit_keeper.cpp
@@ -0,0 +1,236 @@
+#include "request/permit_keeper.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+PermitKeeper::PermitKeeper(TimePoint now)
+    : WithheldUntil(now + PermitTerms::ReclaimAfter) {}
+
+auto PermitKeeper::setLimits(const std::vector<SlotLimit> &limits) -> void {
+  Limits.clear();
+  for (const auto &it : limits) {
+    Limits[it.Upstream] = it;
+    for (std::uint32_t n = 0; n < it.Allowed; ++n)
+      Slots.try_emplace({it.Upstream, n}, Slot{{}, 0, WithheldUntil});
+  }
+}
+
+auto PermitKeeper::onDemand(const HolderId &from, bool local,
+                            const PoolDemand &d, TimePoint now) -> bool {
+  auto it = Holders.lower_bound({from.Id, Incarnation{}});
+  while (it != Holders.end() && it->first.Id == from.Id) {
+    const auto old = (it++)->first;
+    if (old.Number != from.Number)
+      dropHolder(old, Holders.at(old).LastHeard + PermitTerms::ReclaimAfter);
+  }
+  auto &h = Holders[from];
+  if (d.Sequence <= h.Sequence)
+    return false;
+  h.Local = local;
+  h.Sequence = d.Sequence;
+  h.Wanted = d.Wanted - std::min(d.Wanted, countUnheard(from, d.Seen));
+  h.Load = d.Load;
+  h.LastHeard = now;
+  h.Changed = true;
+  settleReturns(from, d, now);
+  adopt(from, h, d);
+  return true;
+}
+
+/// Loans that are still on their way to \p to.
+auto PermitKeeper::countUnheard(const HolderId &to, std::uint64_t seen) const
+    -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::count_if(Slots.begin(), Slots.end(), [&](const auto &v) {
+        return v.second.Holder == to && v.second.Grant > seen;
+      }));
+}
+
+/// A loan that the holder has heard of and no longer lists was returned.
+auto PermitKeeper::settleReturns(const HolderId &from, const PoolDemand &d,
+                                 TimePoint now) -> void {
+  for (auto &[id, s] : Slots) {
+    if (s.Holder != from || s.Grant > d.Seen)
+      continue;
+    const auto listed =
+        std::any_of(d.Held.begin(), d.Held.end(),
+                    [&id](const SlotLoan &l) { return l.Slot == id; });
+    if (!listed)
+      release(s, now);
+  }
+}
+
+/// Takes over loans that an earlier keeper made.
+auto PermitKeeper::adopt(const HolderId &from, Holder &h, const PoolDemand &d)
+    -> void {
+  for (const auto &loan : d.Held) {
+    auto &s =
+        Slots.try_emplace(loan.Slot, Slot{{}, 0, WithheldUntil}).first->second;
+    if (s.Holder)
+      continue;
+    s.Holder = from;
+    s.Grant = NextGrant++;
+    ++h.Lent;
+  }
+}
+
+auto PermitKeeper::release(Slot &s, TimePoint freeAt) -> void {
+  --Holders.at(*s.Holder).Lent;
+  s.Holder.reset();
+  s.FreeAt = freeAt;
+}
+
+auto PermitKeeper::dropHolder(const HolderId &id, TimePoint freeAt) -> void {
+  for (auto &[slot, s] : Slots)
+    if (s.Holder == id)
+      release(s, freeAt);
+  Holders.erase(id);
+}
+
+auto PermitKeeper::addFree(const std::vector<SlotId> &slots, TimePoint now)
+    -> void {
+  for (const auto &id : slots) {
+    auto &s = Slots.try_emplace(id).first->second;
+    if (!s.Holder)
+      s.FreeAt = now;
+  }
+}
+
+auto PermitKeeper::reclaim(TimePoint now) -> void {
+  for (auto it = Holders.begin(); it != Holders.end();) {
+    const auto [id, h] = *it++;
+    if (h.LastHeard + PermitTerms::ReclaimAfter <= now)
+      dropHolder(id, now);
+  }
+}
+
+auto PermitKeeper::lend(TimePoint now) -> std::vector<HolderId> {
+  reclaim(now);
+  for (auto h = neediest(); h != Holders.end(); h = neediest()) {
+    auto s = pickSlot(now);
+    if (s == Slots.end())
+      break;
+    s->second.Holder = h->first;
+    s->second.Grant = NextGrant++;
+    ++h->second.Lent;
+    --h->second.Wanted;
+    h->second.Changed = true;
+  }
+  std::vector<HolderId> changed;
+  for (auto &[id, h] : Holders) {
+    const auto keep = keepFor(h);
+    if (h.Changed || (keep < h.Lent && keep != h.ToldKeep))
+      changed.push_back(id);
+    h.Changed = false;
+    h.ToldKeep = keep;
+  }
+  return changed;
+}
+
+/// The holder that wants more and has least for its load; this data centre's
+/// own come first.
+auto PermitKeeper::neediest() -> std::map<HolderId, Holder>::iterator {
+  auto share = [](const Holder &h) {
+    return static_cast<double>(h.Lent) / std::max(1U, h.Load);
+  };
+  auto best = Holders.end();
+  for (auto it = Holders.begin(); it != Holders.end(); ++it) {
+    const auto &h = it->second;
+    if (h.Wanted == 0)
+      continue;
+    if (best == Holders.end() ||
+        std::pair(!h.Local, share(h)) <
+            std::pair(!best->second.Local, share(best->second)))
+      best = it;
+  }
+  return best;
+}
+
+/// The free slot of the fastest upstream that is below its limit. A withheld
+/// slot counts as used.
+auto PermitKeeper::pickSlot(TimePoint now) -> std::map<SlotId, Slot>::iterator {
+  auto best = Slots.end();
+  double bestScore = -1;
+  for (const auto &[id, limit] : Limits) {
+    std::uint32_t used = 0;
+    auto free = Slots.end();
+    for (auto it = Slots.lower_bound({id, 0});
+         it != Slots.end() && it->first.Upstream == id; ++it) {
+      const auto isFree = !it->second.Holder && it->second.FreeAt <= now;
+      used += isFree ? 0U : 1U;
+      if (isFree && it->first.Index < limit.Allowed)
+        free = it;
+    }
+    if (used >= limit.Allowed || free == Slots.end())
+      continue;
+    const auto score = limit.SpeedPercent / (1 + used);
+    if (score > bestScore) {
+      best = free;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+auto PermitKeeper::unmet() const -> std::uint32_t {
+  std::uint32_t n = 0;
+  for (const auto &[id, h] : Holders)
+    n += h.Wanted;
+  return n;
+}
+
+/// Without need elsewhere a holder keeps its idle loans. Else it keeps its
+/// share by load, and a holder of another data centre keeps none while this
+/// one's own want more.
+auto PermitKeeper::keepFor(const Holder &h) const -> std::uint32_t {
+  std::uint32_t wanted = 0;
+  std::uint32_t wantedLocally = 0;
+  std::uint64_t load = 0;
+  std::uint64_t lent = 0;
+  for (const auto &[id, it] : Holders) {
+    wanted += it.Wanted;
+    wantedLocally += it.Local ? it.Wanted : 0;
+    load += it.Load;
+    lent += it.Lent;
+  }
+  if (wanted == 0)
+    return h.Lent;
+  if (wantedLocally > 0 && !h.Local)
+    return 0;
+  if (wantedLocally == 0 && h.Local)
+    return std::max(h.Lent > 0 ? 1U : 0U, std::min(h.Lent, h.Load));
+  return static_cast<std::uint32_t>(lent * h.Load /
+                                    std::max<std::uint64_t>(1, load));
+}
+
+auto PermitKeeper::stateFor(const HolderId &to) const
+    -> std::optional<PoolLend> {
+  auto it = Holders.find(to);
+  if (it == Holders.end())
+    return std::nullopt;
+  PoolLend m{it->second.Sequence, keepFor(it->second), unmet(), {}};
+  for (const auto &[id, s] : Slots) {
+    auto limit = Limits.find(id.Upstream);
+    if (s.Holder == to && limit != Limits.end() &&
+        id.Index < limit->second.Allowed)
+      m.Loans.push_back({id, s.Grant});
+  }
+  return m;
+}
+
+auto PermitKeeper::freeSlots(TimePoint now) const -> std::vector<SlotId> {
+  std::vector<SlotId> free;
+  for (const auto &[id, s] : Slots)
+    if (!s.Holder && s.FreeAt <= now)
+      free.push_back(id);
+  return free;
+}
+
+auto PermitKeeper::lentCount() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Slots.begin(), Slots.end(),
+                    [](const auto &v) { return v.second.Holder.has_value(); }));
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/request/permit_keeper.h
@@ -0,0 +1,94 @@
+/// \file
+/// The lending side of one pool.
+#ifndef BORAGEBRIDGE_REQUEST_PERMIT_KEEPER_H
+#define BORAGEBRIDGE_REQUEST_PERMIT_KEEPER_H
+
+#include "request/permit.h"
+
+#include <map>
+#include <optional>
+
+namespace boragebridge {
+
+/// Who holds loans.
+struct HolderId {
+  InstanceId Id{};
+  Incarnation Number{};
+  auto operator<=>(const HolderId &) const = default;
+};
+
+/// How many slots of an upstream may be in use now.
+struct SlotLimit {
+  UpstreamId Upstream{};
+  std::uint32_t Allowed = 0;
+  /// Faster ones are lent first.
+  double SpeedPercent = 100;
+};
+
+/// Lends the slots of one pool. A new keeper knows of no loan, so every slot
+/// is withheld until any earlier keeper's loan of it has surely ended, its
+/// holder reports it, or the earlier keeper hands it over as free. Not
+/// thread-safe.
+class PermitKeeper {
+public:
+  explicit PermitKeeper(TimePoint now);
+
+  /// Replaces the upstreams and their limits. An upstream that is left out
+  /// gets no new loans; its slots are remembered until they are back.
+  auto setLimits(const std::vector<SlotLimit> &limits) -> void;
+  /// Demand \p d of \p from, which is in this data centre when \p local.
+  /// False when it is older than one already heard.
+  auto onDemand(const HolderId &from, bool local, const PoolDemand &d,
+                TimePoint now) -> bool;
+  /// Slots that an earlier keeper handed over as free.
+  auto addFree(const std::vector<SlotId> &slots, TimePoint now) -> void;
+  /// Takes back what has ended and lends what is free. Returns the holders
+  /// whose state changed and who are to be told.
+  auto lend(TimePoint now) -> std::vector<HolderId>;
+  /// The state to tell \p to; nothing when it is not known.
+  auto stateFor(const HolderId &to) const -> std::optional<PoolLend>;
+  /// Slots that nobody holds.
+  auto freeSlots(TimePoint now) const -> std::vector<SlotId>;
+  auto lentCount() const -> std::size_t;
+  auto unmet() const -> std::uint32_t;
+
+private:
+  struct Slot {
+    std::optional<HolderId> Holder;
+    std::uint64_t Grant = 0;
+    /// Without a holder: withheld until then.
+    TimePoint FreeAt;
+  };
+  struct Holder {
+    bool Local = false;
+    std::uint64_t Sequence = 0;
+    std::uint32_t Wanted = 0;
+    std::uint32_t Load = 0;
+    std::uint32_t Lent = 0;
+    std::uint32_t ToldKeep = UINT32_MAX;
+    TimePoint LastHeard;
+    bool Changed = false;
+  };
+
+  auto countUnheard(const HolderId &to, std::uint64_t seen) const
+      -> std::uint32_t;
+  auto settleReturns(const HolderId &from, const PoolDemand &d, TimePoint now)
+      -> void;
+  auto adopt(const HolderId &from, Holder &h, const PoolDemand &d) -> void;
+  auto dropHolder(const HolderId &id, TimePoint freeAt) -> void;
+  auto release(Slot &s, TimePoint freeAt) -> void;
+  auto reclaim(TimePoint now) -> void;
+  auto neediest() -> std::map<HolderId, Holder>::iterator;
+  auto pickSlot(TimePoint now) -> std::map<SlotId, Slot>::iterator;
+  auto keepFor(const Holder &h) const -> std::uint32_t;
+
+  TimePoint WithheldUntil;
+  std::uint64_t NextGrant = 1;
+  std::map<UpstreamId, SlotLimit> Limits;
+  std::map<SlotId, Slot> Slots;
+  std::map<HolderId, Holder> Holders;
+};
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/request/request_controller.h
@@ -0,0 +1,95 @@
+/// \file
+/// The controller of the request plane. It owns the ledger of this incarnation
+/// and those that were handed to it, and brings each request to the one place
+/// that may run it.
+#ifndef BORAGEBRIDGE_REQUEST_REQUEST_CONTROLLER_H
+#define BORAGEBRIDGE_REQUEST_REQUEST_CONTROLLER_H
+
+#include "request/dispatcher.h"
+#include "request/ledger_handover.h"
+#include "request/routes.h"
+
+namespace boragebridge {
+
+/// Not thread-safe.
+class RequestController final : public Controller {
+public:
+  /// A planned stop ends at the latest this long after the last request.
+  static constexpr Duration MaxHandOver = std::chrono::seconds(10);
+  /// Ledgers of other incarnations that are held.
+  static constexpr std::size_t MaxInherited = 256;
+
+  /// \p observer may be null; else it outlives the controller.
+  RequestController(const ControllerContext &ctx, UpstreamObserver *observer);
+
+  auto name() const -> std::string_view override { return "requests"; }
+  auto family() const -> MessageFamily override {
+    return MessageFamily::Request;
+  }
+  auto tick(TimePoint now) -> void override;
+  [[nodiscard]] auto onPeerFrame(const PeerFrame &f) -> bool override;
+  auto onPacket(PacketOrigin from, const Endpoint &peer, const Packet &p)
+      -> bool override;
+  auto beginStop() -> void override;
+  auto isStopped() const -> bool override { return Stopped; }
+  auto dump() const -> boost::json::object override;
+
+private:
+  /// A Request or Cancel, read.
+  struct Incoming {
+    Packet Raw;
+    rw::RequestT Content;
+    ReplyTarget From;
+    Bytes Sealed;
+    TicketFields Fields;
+    bool Relayed = false;
+    bool IsCancel = false;
+  };
+
+  auto onCallerPacket(const Packet &p, bool relayed) -> void;
+  auto read(const Packet &p, Incoming &in) const -> bool;
+  auto routeAway(const Incoming &in) -> void;
+  auto runElsewhere(const Incoming &in) -> void;
+  auto serveFrom(Ledger &l, const Incoming &in) -> void;
+  auto serveUnused(Ledger &l, const Incoming &in) -> void;
+  auto serveForged(const Incoming &in) -> void;
+  auto serveAnswered(const Ledger &l, const Incoming &in) -> void;
+  auto makeNew(const Incoming &in) const -> NewRequest;
+  auto heldLedger(Incarnation inc) -> Ledger *;
+  auto waitHint() -> Duration;
+  auto advanceStop(TimePoint now) -> void;
+  auto dropStaleLedgers(TimePoint now) -> void;
+  auto onRelay(const PeerFrame &f) -> bool;
+  auto onLedgerPart(const PeerFrame &f) -> bool;
+  auto onLedgerPartAck(const PeerFrame &f) -> bool;
+  auto onSuccessor(const PeerFrame &f) -> bool;
+  auto onSuccessorAck(const PeerFrame &f) -> bool;
+
+  const ControllerContext &Ctx;
+  Ledger Own;
+  std::map<Incarnation, std::unique_ptr<Ledger>> Inherited;
+  ReplySender Replies;
+  Dispatcher Work;
+  Routes Known;
+  RefusedKeys Refused;
+  LedgerSender Sender;
+  LedgerReceiver Receiver;
+  SuccessorAnnouncer Announcer;
+  bool Stopping = false;
+  bool Stopped = false;
+  TimePoint StopLimit;
+  Counter &Received;
+  Counter &Relayed;
+  Counter &ForgedTickets;
+  Counter &BadPackets;
+  Gauge &AnswerBytes;
+};
+
+/// The request controller of one instance. \p observer may be null.
+auto makeRequestController(const ControllerContext &ctx,
+                           UpstreamObserver *observer)
+    -> std::unique_ptr<Controller>;
+
+} // namespace boragebridge
+
+#endif
--- a/src/request/request_generated.h
+++ b/src/request/request_generated.h
@@ -57,6 +57,10 @@
 struct PoolHandOverBuilder;
 struct PoolHandOverT;
 
+struct PoolClaim;
+struct PoolClaimBuilder;
+struct PoolClaimT;
+
 struct Record;
 struct RecordBuilder;
 struct RecordT;
@@ -618,7 +622,7 @@
   typedef Cancel TableType;
   uint64_t caller = 0;
   uint64_t number = 0;
-  uint64_t attempt = 0;
+  uint32_t attempt = 0;
   std::vector<uint8_t> ticket{};
 };
 
@@ -638,8 +642,8 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  uint64_t attempt() const {
-    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
   }
   const flatbuffers::Vector<uint8_t> *ticket() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_TICKET);
@@ -648,7 +652,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
            VerifyOffset(verifier, VT_TICKET) &&
            verifier.VerifyVector(ticket()) &&
            verifier.EndTable();
@@ -668,8 +672,8 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Cancel::VT_NUMBER, number, 0);
   }
-  void add_attempt(uint64_t attempt) {
-    fbb_.AddElement<uint64_t>(Cancel::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(Cancel::VT_ATTEMPT, attempt, 0);
   }
   void add_ticket(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> ticket) {
     fbb_.AddOffset(Cancel::VT_TICKET, ticket);
@@ -689,13 +693,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> ticket = 0) {
   CancelBuilder builder_(_fbb);
-  builder_.add_attempt(attempt);
   builder_.add_number(number);
   builder_.add_caller(caller);
   builder_.add_ticket(ticket);
+  builder_.add_attempt(attempt);
   return builder_.Finish();
 }
 
@@ -708,7 +712,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     const std::vector<uint8_t> *ticket = nullptr) {
   auto ticket__ = ticket ? _fbb.CreateVector<uint8_t>(*ticket) : 0;
   return boragebridge::wire::request::CreateCancel(
@@ -726,7 +730,7 @@
   uint64_t service = 0;
   uint64_t caller = 0;
   uint64_t number = 0;
-  uint64_t attempt = 0;
+  uint32_t attempt = 0;
   uint32_t remaining_ms = 0;
   std::vector<uint8_t> body{};
 };
@@ -752,8 +756,8 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  uint64_t attempt() const {
-    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
   }
   uint32_t remaining_ms() const {
     return GetField<uint32_t>(VT_REMAINING_MS, 0);
@@ -766,7 +770,7 @@
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
            VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
            VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
@@ -790,8 +794,8 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Execute::VT_NUMBER, number, 0);
   }
-  void add_attempt(uint64_t attempt) {
-    fbb_.AddElement<uint64_t>(Execute::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(Execute::VT_ATTEMPT, attempt, 0);
   }
   void add_remaining_ms(uint32_t remaining_ms) {
     fbb_.AddElement<uint32_t>(Execute::VT_REMAINING_MS, remaining_ms, 0);
@@ -815,16 +819,16 @@
     uint64_t service = 0,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     uint32_t remaining_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   ExecuteBuilder builder_(_fbb);
-  builder_.add_attempt(attempt);
   builder_.add_number(number);
   builder_.add_caller(caller);
   builder_.add_service(service);
   builder_.add_body(body);
   builder_.add_remaining_ms(remaining_ms);
+  builder_.add_attempt(attempt);
   return builder_.Finish();
 }
 
@@ -838,7 +842,7 @@
     uint64_t service = 0,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     uint32_t remaining_ms = 0,
     const std::vector<uint8_t> *body = nullptr) {
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -858,8 +862,9 @@
   typedef Result TableType;
   uint64_t caller = 0;
   uint64_t number = 0;
-  uint64_t attempt = 0;
+  uint32_t attempt = 0;
   boragebridge::wire::request::ResultOutcome outcome = boragebridge::wire::request::ResultOutcome::Answered;
+  uint8_t reason = 0;
   uint16_t chunk = 0;
   uint16_t chunks = 1;
   uint64_t digest = 0;
@@ -875,10 +880,11 @@
     VT_NUMBER = 6,
     VT_ATTEMPT = 8,
     VT_OUTCOME = 10,
-    VT_CHUNK = 12,
-    VT_CHUNKS = 14,
-    VT_DIGEST = 16,
-    VT_BODY = 18
+    VT_REASON = 12,
+    VT_CHUNK = 14,
+    VT_CHUNKS = 16,
+    VT_DIGEST = 18,
+    VT_BODY = 20
   };
   uint64_t caller() const {
     return GetField<uint64_t>(VT_CALLER, 0);
@@ -886,12 +892,15 @@
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
-  uint64_t attempt() const {
-    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  uint32_t attempt() const {
+    return GetField<uint32_t>(VT_ATTEMPT, 0);
   }
   boragebridge::wire::request::ResultOutcome outcome() const {
     return static_cast<boragebridge::wire::request::ResultOutcome>(GetField<uint8_t>(VT_OUTCOME, 0));
   }
+  uint8_t reason() const {
+    return GetField<uint8_t>(VT_REASON, 0);
+  }
   uint16_t chunk() const {
     return GetField<uint16_t>(VT_CHUNK, 0);
   }
@@ -908,8 +917,9 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
-           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ATTEMPT, 4) &&
            VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REASON, 1) &&
            VerifyField<uint16_t>(verifier, VT_CHUNK, 2) &&
            VerifyField<uint16_t>(verifier, VT_CHUNKS, 2) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
@@ -932,12 +942,15 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(Result::VT_NUMBER, number, 0);
   }
-  void add_attempt(uint64_t attempt) {
-    fbb_.AddElement<uint64_t>(Result::VT_ATTEMPT, attempt, 0);
+  void add_attempt(uint32_t attempt) {
+    fbb_.AddElement<uint32_t>(Result::VT_ATTEMPT, attempt, 0);
   }
   void add_outcome(boragebridge::wire::request::ResultOutcome outcome) {
     fbb_.AddElement<uint8_t>(Result::VT_OUTCOME, static_cast<uint8_t>(outcome), 0);
   }
+  void add_reason(uint8_t reason) {
+    fbb_.AddElement<uint8_t>(Result::VT_REASON, reason, 0);
+  }
   void add_chunk(uint16_t chunk) {
     fbb_.AddElement<uint16_t>(Result::VT_CHUNK, chunk, 0);
   }
@@ -965,20 +978,22 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     boragebridge::wire::request::ResultOutcome outcome = boragebridge::wire::request::ResultOutcome::Answered,
+    uint8_t reason = 0,
     uint16_t chunk = 0,
     uint16_t chunks = 1,
     uint64_t digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
   ResultBuilder builder_(_fbb);
   builder_.add_digest(digest);
-  builder_.add_attempt(attempt);
   builder_.add_number(number);
   builder_.add_caller(caller);
   builder_.add_body(body);
+  builder_.add_attempt(attempt);
   builder_.add_chunks(chunks);
   builder_.add_chunk(chunk);
+  builder_.add_reason(reason);
   builder_.add_outcome(outcome);
   return builder_.Finish();
 }
@@ -992,8 +1007,9 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t caller = 0,
     uint64_t number = 0,
-    uint64_t attempt = 0,
+    uint32_t attempt = 0,
     boragebridge::wire::request::ResultOutcome outcome = boragebridge::wire::request::ResultOutcome::Answered,
+    uint8_t reason = 0,
     uint16_t chunk = 0,
     uint16_t chunks = 1,
     uint64_t digest = 0,
@@ -1005,6 +1021,7 @@
       number,
       attempt,
       outcome,
+      reason,
       chunk,
       chunks,
       digest,
@@ -1468,6 +1485,7 @@
   typedef PoolHandOver TableType;
   uint64_t service = 0;
   uint64_t data_centre = 0;
+  uint64_t tenure = 0;
   std::vector<boragebridge::wire::request::FreeSlot> free{};
 };
 
@@ -1478,7 +1496,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_SERVICE = 4,
     VT_DATA_CENTRE = 6,
-    VT_FREE = 8
+    VT_TENURE = 8,
+    VT_FREE = 10
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -1486,6 +1505,9 @@
   uint64_t data_centre() const {
     return GetField<uint64_t>(VT_DATA_CENTRE, 0);
   }
+  uint64_t tenure() const {
+    return GetField<uint64_t>(VT_TENURE, 0);
+  }
   const flatbuffers::Vector<const boragebridge::wire::request::FreeSlot *> *free() const {
     return GetPointer<const flatbuffers::Vector<const boragebridge::wire::request::FreeSlot *> *>(VT_FREE);
   }
@@ -1493,6 +1515,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
            VerifyField<uint64_t>(verifier, VT_DATA_CENTRE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TENURE, 8) &&
            VerifyOffset(verifier, VT_FREE) &&
            verifier.VerifyVector(free()) &&
            verifier.EndTable();
@@ -1512,6 +1535,9 @@
   void add_data_centre(uint64_t data_centre) {
     fbb_.AddElement<uint64_t>(PoolHandOver::VT_DATA_CENTRE, data_centre, 0);
   }
+  void add_tenure(uint64_t tenure) {
+    fbb_.AddElement<uint64_t>(PoolHandOver::VT_TENURE, tenure, 0);
+  }
   void add_free(flatbuffers::Offset<flatbuffers::Vector<const boragebridge::wire::request::FreeSlot *>> free) {
     fbb_.AddOffset(PoolHandOver::VT_FREE, free);
   }
@@ -1530,8 +1556,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t service = 0,
     uint64_t data_centre = 0,
+    uint64_t tenure = 0,
     flatbuffers::Offset<flatbuffers::Vector<const boragebridge::wire::request::FreeSlot *>> free = 0) {
   PoolHandOverBuilder builder_(_fbb);
+  builder_.add_tenure(tenure);
   builder_.add_data_centre(data_centre);
   builder_.add_service(service);
   builder_.add_free(free);
@@ -1547,21 +1575,92 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t service = 0,
     uint64_t data_centre = 0,
+    uint64_t tenure = 0,
     const std::vector<boragebridge::wire::request::FreeSlot> *free = nullptr) {
   auto free__ = free ? _fbb.CreateVectorOfStructs<boragebridge::wire::request::FreeSlot>(*free) : 0;
   return boragebridge::wire::request::CreatePoolHandOver(
       _fbb,
       service,
       data_centre,
+      tenure,
       free__);
 }
 
 flatbuffers::Offset<PoolHandOver> CreatePoolHandOver(flatbuffers::FlatBufferBuilder &_fbb, const PoolHandOverT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PoolClaimT : public flatbuffers::NativeTable {
+  typedef PoolClaim TableType;
+  uint64_t service = 0;
+  uint64_t data_centre = 0;
+};
+
+struct PoolClaim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoolClaimT NativeTableType;
+  typedef PoolClaimBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_DATA_CENTRE = 6
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t data_centre() const {
+    return GetField<uint64_t>(VT_DATA_CENTRE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DATA_CENTRE, 8) &&
+           verifier.EndTable();
+  }
+  PoolClaimT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PoolClaimT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PoolClaim> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PoolClaimBuilder {
+  typedef PoolClaim Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(PoolClaim::VT_SERVICE, service, 0);
+  }
+  void add_data_centre(uint64_t data_centre) {
+    fbb_.AddElement<uint64_t>(PoolClaim::VT_DATA_CENTRE, data_centre, 0);
+  }
+  explicit PoolClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoolClaim> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoolClaim>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoolClaim> CreatePoolClaim(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t data_centre = 0) {
+  PoolClaimBuilder builder_(_fbb);
+  builder_.add_data_centre(data_centre);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct PoolClaim::Traits {
+  using type = PoolClaim;
+  static auto constexpr Create = CreatePoolClaim;
+};
+
+flatbuffers::Offset<PoolClaim> CreatePoolClaim(flatbuffers::FlatBufferBuilder &_fbb, const PoolClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RecordT : public flatbuffers::NativeTable {
   typedef Record TableType;
-  uint64_t caller = 0;
   uint64_t sequence = 0;
+  uint64_t request_digest = 0;
   std::vector<uint8_t> answer{};
 };
 
@@ -1570,23 +1669,23 @@
   typedef RecordBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CALLER = 4,
-    VT_SEQUENCE = 6,
+    VT_SEQUENCE = 4,
+    VT_REQUEST_DIGEST = 6,
     VT_ANSWER = 8
   };
-  uint64_t caller() const {
-    return GetField<uint64_t>(VT_CALLER, 0);
-  }
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
   }
+  uint64_t request_digest() const {
+    return GetField<uint64_t>(VT_REQUEST_DIGEST, 0);
+  }
   const flatbuffers::Vector<uint8_t> *answer() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_ANSWER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_CALLER, 8) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST_DIGEST, 8) &&
            VerifyOffset(verifier, VT_ANSWER) &&
            verifier.VerifyVector(answer()) &&
            verifier.EndTable();
@@ -1600,12 +1699,12 @@
   typedef Record Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_caller(uint64_t caller) {
-    fbb_.AddElement<uint64_t>(Record::VT_CALLER, caller, 0);
-  }
   void add_sequence(uint64_t sequence) {
     fbb_.AddElement<uint64_t>(Record::VT_SEQUENCE, sequence, 0);
   }
+  void add_request_digest(uint64_t request_digest) {
+    fbb_.AddElement<uint64_t>(Record::VT_REQUEST_DIGEST, request_digest, 0);
+  }
   void add_answer(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer) {
     fbb_.AddOffset(Record::VT_ANSWER, answer);
   }
@@ -1622,12 +1721,12 @@
 
 inline flatbuffers::Offset<Record> CreateRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t caller = 0,
     uint64_t sequence = 0,
+    uint64_t request_digest = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> answer = 0) {
   RecordBuilder builder_(_fbb);
+  builder_.add_request_digest(request_digest);
   builder_.add_sequence(sequence);
-  builder_.add_caller(caller);
   builder_.add_answer(answer);
   return builder_.Finish();
 }
@@ -1639,14 +1738,14 @@
 
 inline flatbuffers::Offset<Record> CreateRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t caller = 0,
     uint64_t sequence = 0,
+    uint64_t request_digest = 0,
     const std::vector<uint8_t> *answer = nullptr) {
   auto answer__ = answer ? _fbb.CreateVector<uint8_t>(*answer) : 0;
   return boragebridge::wire::request::CreateRecord(
       _fbb,
-      caller,
       sequence,
+      request_digest,
       answer__);
 }
 
@@ -2216,6 +2315,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = reason(); _o->reason = _e; }
   { auto _e = chunk(); _o->chunk = _e; }
   { auto _e = chunks(); _o->chunks = _e; }
   { auto _e = digest(); _o->digest = _e; }
@@ -2234,6 +2334,7 @@
   auto _number = _o->number;
   auto _attempt = _o->attempt;
   auto _outcome = _o->outcome;
+  auto _reason = _o->reason;
   auto _chunk = _o->chunk;
   auto _chunks = _o->chunks;
   auto _digest = _o->digest;
@@ -2244,6 +2345,7 @@
       _number,
       _attempt,
       _outcome,
+      _reason,
       _chunk,
       _chunks,
       _digest,
@@ -2396,6 +2498,7 @@
   (void)_resolver;
   { auto _e = service(); _o->service = _e; }
   { auto _e = data_centre(); _o->data_centre = _e; }
+  { auto _e = tenure(); _o->tenure = _e; }
   { auto _e = free(); if (_e) { _o->free.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->free[_i] = *_e->Get(_i); } } }
 }
 
@@ -2409,14 +2512,45 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolHandOverT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _service = _o->service;
   auto _data_centre = _o->data_centre;
+  auto _tenure = _o->tenure;
   auto _free = _o->free.size() ? _fbb.CreateVectorOfStructs(_o->free) : 0;
   return boragebridge::wire::request::CreatePoolHandOver(
       _fbb,
       _service,
       _data_centre,
+      _tenure,
       _free);
 }
 
+inline PoolClaimT *PoolClaim::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PoolClaimT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PoolClaim::UnPackTo(PoolClaimT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); _o->service = _e; }
+  { auto _e = data_centre(); _o->data_centre = _e; }
+}
+
+inline flatbuffers::Offset<PoolClaim> PoolClaim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePoolClaim(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PoolClaim> CreatePoolClaim(flatbuffers::FlatBufferBuilder &_fbb, const PoolClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolClaimT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service;
+  auto _data_centre = _o->data_centre;
+  return boragebridge::wire::request::CreatePoolClaim(
+      _fbb,
+      _service,
+      _data_centre);
+}
+
 inline RecordT *Record::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -2426,8 +2560,8 @@
 inline void Record::UnPackTo(RecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = caller(); _o->caller = _e; }
   { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = request_digest(); _o->request_digest = _e; }
   { auto _e = answer(); if (_e) { _o->answer.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->answer.begin()); } }
 }
 
@@ -2439,13 +2573,13 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _caller = _o->caller;
   auto _sequence = _o->sequence;
+  auto _request_digest = _o->request_digest;
   auto _answer = _o->answer.size() ? _fbb.CreateVector(_o->answer) : 0;
   return boragebridge::wire::request::CreateRecord(
       _fbb,
-      _caller,
       _sequence,
+      _request_digest,
       _answer);
 }
 
--- /dev/null
+++ b/src/request/spent_window.cpp
@@ -0,0 +1,52 @@
+#include "request/spent_window.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+namespace {
+
+constexpr std::uint64_t PerCell = 4;
+constexpr unsigned BitsEach = 2;
+constexpr unsigned StateMask = 3;
+
+auto shiftOf(std::uint64_t seq) -> unsigned {
+  return static_cast<unsigned>(seq % PerCell) * BitsEach;
+}
+
+} // namespace
+
+SpentWindow::SpentWindow(std::uint64_t first, std::uint64_t end,
+                         const std::vector<std::uint8_t> &packed)
+    : First(first),
+      End(std::clamp(end, first, first + PerCell * packed.size())),
+      Cells(packed.begin(), packed.end()) {}
+
+auto SpentWindow::issue() -> std::uint64_t {
+  if (End == First + PerCell * Cells.size())
+    Cells.push_back(0);
+  if (Cells.size() * PerCell > MaxTickets)
+    forgetBelow(First + PerCell);
+  return End++;
+}
+
+auto SpentWindow::state(std::uint64_t seq) const -> TicketState {
+  const unsigned cell = Cells[(seq - First) / PerCell];
+  return static_cast<TicketState>((cell >> shiftOf(seq)) & StateMask);
+}
+
+auto SpentWindow::set(std::uint64_t seq, TicketState s) -> void {
+  auto &cell = Cells[(seq - First) / PerCell];
+  const auto cleared = cell & ~(StateMask << shiftOf(seq));
+  cell = static_cast<std::uint8_t>(cleared |
+                                   (static_cast<unsigned>(s) << shiftOf(seq)));
+}
+
+auto SpentWindow::forgetBelow(std::uint64_t seq) -> void {
+  while (!Cells.empty() && First + PerCell <= seq) {
+    Cells.pop_front();
+    First += PerCell;
+  }
+}
+
+} // namespace boragebridge
