--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -2,6 +2,7 @@
 
 #include "flow/flow_controller.h"
 #include "membership/membership_controller.h"
+#include "request/request_controller.h"
 
 namespace boragebridge {
 
@@ -10,6 +11,7 @@
   auto platform = std::make_shared<BudgetedPlatform>(ctx);
   all.push_back(makeMembershipController(ctx, platform));
   all.push_back(makeFlowController(ctx));
+  all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
 
