Test the transport against peers and clients that misbehave

Cause: the link and the HTTP server meet garbage, half-frames, silence and slow senders; nothing showed what they do then. Change: tests on loopback with ephemeral ports; time limits of the link run on a manual clock, and each wait polls the io_context until a condition.

--- /dev/null
+++ b/test/net/http_server_test.cpp
@@ -0,0 +1,118 @@
+#include "net/http_server.h"
+
+#include "net/asio_endpoint.h"
+#include "net/http_client.h"
+#include "net/io_fixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+namespace boragebridge {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+struct HttpFixture : IoFixture {
+  HttpRespond Pending;
+  HttpServerOptions Options;
+  std::unique_ptr<HttpServer> Server = open();
+
+  auto open() -> std::unique_ptr<HttpServer> {
+    Options.MaxConnections = 3;
+    Options.Timeout = std::chrono::milliseconds(300);
+    return HttpServer::open(
+               Io, AnyLoopbackPort,
+               [this](const HttpRequest &r, HttpRespond respond) {
+                 if (r.Target == "/later")
+                   Pending = std::move(respond);
+                 else
+                   respond({200,
+                            "text/plain",
+                            r.Method + " " + r.Body + " " + r.Headers.at("x-a"),
+                            {{"ETag", "7"}}});
+               },
+               Options)
+        .value();
+  }
+  auto call(HttpRequest r) -> absl::StatusOr<HttpResponse> {
+    std::optional<absl::StatusOr<HttpResponse>> out;
+    httpCall(Io, Server->local(), std::move(r), std::chrono::seconds(10),
+             [&out](auto v) { out = std::move(v); });
+    BOOST_REQUIRE(runUntil([&] { return out.has_value(); }));
+    return *out;
+  }
+  auto connect() -> tcp::socket {
+    tcp::socket s(Io);
+    s.connect(toAsio<tcp>(Server->local()));
+    return s;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpServers, HttpFixture)
+
+BOOST_AUTO_TEST_CASE(RequestAndResponseCarryBodyAndHeaders) {
+  auto r = call({"POST", "/x", "body", {{"x-a", "1"}}});
+  BOOST_REQUIRE(r.ok());
+  BOOST_TEST(r->Status == 200U);
+  BOOST_TEST(r->Body == "POST body 1");
+  BOOST_TEST(r->Headers["etag"] == "7");
+}
+
+BOOST_AUTO_TEST_CASE(MalformedRequestGets400) {
+  auto s = connect();
+  boost::asio::write(s, boost::asio::buffer(std::string("nonsense\r\n\r\n")));
+  std::array<char, 12> head{};
+  bool isRead = false;
+  s.async_read_some(boost::asio::buffer(head),
+                    [&](auto ec, auto) { isRead = !ec; });
+  BOOST_REQUIRE(runUntil([&] { return isRead; }));
+  BOOST_TEST(std::string(head.data(), head.size()) == "HTTP/1.1 400");
+  BOOST_TEST(Server->counts().Refused == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OverlongBodyIsRefusedBeforeItArrives) {
+  auto s = connect();
+  const auto head = "PUT / HTTP/1.1\r\nContent-Length: " +
+                    std::to_string(MaxHttpBodyBytes + 1) + "\r\n\r\n";
+  boost::asio::write(s, boost::asio::buffer(head));
+  BOOST_TEST(runUntil([&] { return Server->counts().Refused == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(SlowSenderIsClosedAndOthersAreServed) {
+  auto s = connect();
+  boost::asio::write(s, boost::asio::buffer(std::string("GET / HT")));
+  BOOST_TEST(call({"GET", "/", "", {{"x-a", "2"}}}).ok());
+  BOOST_TEST(runUntil([&] { return Server->counts().Open == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsOverTheLimitAreTurnedAway) {
+  std::vector<tcp::socket> all;
+  for (int n = 0; n < 4; ++n)
+    all.push_back(connect());
+  BOOST_TEST(runUntil([&] { return Server->counts().TurnedAway == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(ResponseMayComeAfterTheServerIsGone) {
+  httpCall(Io, Server->local(), {"GET", "/later", "", {}},
+           std::chrono::seconds(10), [](const auto &) {});
+  BOOST_REQUIRE(runUntil([&] { return static_cast<bool>(Pending); }));
+  Server.reset();
+  Pending({200, "text/plain", "late", {}});
+}
+
+BOOST_AUTO_TEST_CASE(CallToAClosedPortIsUnavailable) {
+  const auto at = Server->local();
+  Server.reset();
+  auto r = httpCallAndWait(at, {"GET", "/", "", {}}, std::chrono::seconds(5));
+  BOOST_TEST((r.status().code() == absl::StatusCode::kUnavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
--- /dev/null
+++ b/test/net/io_fixture.h
@@ -0,0 +1,35 @@
+/// \file
+/// Runs an io_context until a condition holds. The bound only guards against a
+/// test that hangs; no assertion depends on elapsed time.
+#ifndef BORAGEBRIDGE_TEST_NET_IO_FIXTURE_H
+#define BORAGEBRIDGE_TEST_NET_IO_FIXTURE_H
+
+#include "boragebridge/types.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace boragebridge {
+
+inline constexpr Endpoint AnyLoopbackPort{0x7F000001, 0};
+
+struct IoFixture {
+  boost::asio::io_context Io;
+
+  /// True as soon as \p done() holds; false when the guard runs out.
+  template <typename Condition> auto runUntil(Condition done) -> bool {
+    constexpr auto Guard = std::chrono::seconds(20);
+    constexpr auto Slice = std::chrono::milliseconds(5);
+    const auto end = std::chrono::steady_clock::now() + Guard;
+    while (!done()) {
+      if (std::chrono::steady_clock::now() > end)
+        return false;
+      Io.restart();
+      Io.run_one_for(Slice);
+    }
+    return true;
+  }
+};
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/test/net/tcp_peer_link_test.cpp
@@ -0,0 +1,195 @@
+#include "net/tcp_peer_link.h"
+
+#include "codec/frame_codec.h"
+#include "net/asio_endpoint.h"
+#include "net/io_fixture.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr auto Kind = messageKind(MessageFamily::Flow, 1);
+
+/// Links on loopback, and raw sockets that misbehave towards them.
+struct LinkFixture : IoFixture {
+  ManualClock Time;
+  SeededRandom Random{1};
+  NullEventLog Log;
+  std::vector<PeerFrame> Received;
+
+  auto open(std::uint64_t id, const TcpPeerLinkOptions &opt = {})
+      -> std::unique_ptr<TcpPeerLink> {
+    InstanceIdentity self;
+    self.Id = InstanceId{id};
+    self.Number = Incarnation{id + 100};
+    self.PeerAddress = AnyLoopbackPort;
+    auto it = TcpPeerLink::open(Io, self, Time, Random, Log, opt).value();
+    it->start([this](const PeerFrame &f) {
+      Received.push_back(f);
+      return !f.Body.empty();
+    });
+    return it;
+  }
+  auto connectTo(const TcpPeerLink &it) -> tcp::socket {
+    tcp::socket s(Io);
+    s.connect(toAsio<tcp>(it.local()));
+    return s;
+  }
+  auto listen() -> tcp::acceptor { return {Io, toAsio<tcp>(AnyLoopbackPort)}; }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TcpPeerLinks, LinkFixture)
+
+BOOST_AUTO_TEST_CASE(FramesArriveInOrderWithTheirSender) {
+  auto a = open(1);
+  auto b = open(2);
+  for (std::size_t n = 1; n <= 50; ++n)
+    a->send(b->local(), Kind, Bytes(n), Priority::Data);
+  BOOST_REQUIRE(runUntil([&] { return Received.size() == 50; }));
+  for (std::size_t n = 1; n <= 50; ++n)
+    BOOST_TEST(Received[n - 1].Body.size() == n);
+  BOOST_TEST((Received[0].Sender == InstanceId{1}));
+  BOOST_TEST((Received[0].SenderIncarnation == Incarnation{101}));
+  BOOST_TEST((Received[0].SenderAddress == a->local()));
+}
+
+BOOST_AUTO_TEST_CASE(ControlOvertakesQueuedData) {
+  auto a = open(1);
+  auto b = open(2);
+  a->send(b->local(), Kind, Bytes(1), Priority::Data);
+  a->send(b->local(), Kind, Bytes(2), Priority::Data);
+  a->send(b->local(), Kind, Bytes(3), Priority::Control);
+  BOOST_REQUIRE(runUntil([&] { return Received.size() == 3; }));
+  BOOST_TEST(Received[0].Body.size() == 3U);
+  BOOST_TEST(Received[1].Body.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FullQueueDropsItsOldestFramesAndCountsThem) {
+  TcpPeerLinkOptions opt;
+  opt.QueueBytes = 10'000;
+  auto a = open(1, opt);
+  auto b = open(2);
+  for (std::size_t n = 1; n <= 100; ++n)
+    a->send(b->local(), Kind, Bytes(900 + n), Priority::Data);
+  BOOST_TEST(a->counts().FramesDropped > 80U);
+  BOOST_TEST(a->queuedFrames() + a->counts().FramesDropped == 100U);
+  const auto kept = a->queuedFrames();
+  BOOST_REQUIRE(runUntil([&] { return Received.size() == kept; }));
+  BOOST_TEST(Received.back().Body.size() == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(GarbageCutsTheConnectionAndOthersGoOn) {
+  auto a = open(1);
+  auto b = open(2);
+  auto raw = connectTo(*b);
+  boost::asio::write(raw, boost::asio::buffer(std::string(4000, 'x')));
+  BOOST_REQUIRE(runUntil([&] { return b->counts().CutMalformed == 1; }));
+  a->send(b->local(), Kind, Bytes(1));
+  BOOST_TEST(runUntil([&] { return Received.size() == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(FrameThatTheInstanceRefusesCutsTheConnection) {
+  auto a = open(1);
+  auto b = open(2);
+  a->send(b->local(), Kind, {});
+  BOOST_REQUIRE(runUntil([&] { return b->counts().CutMalformed == 1; }));
+  a->send(b->local(), Kind, Bytes(1));
+  BOOST_TEST(runUntil([&] {
+    Time.advance(std::chrono::milliseconds(20));
+    return Received.size() == 2 || a->queuedFrames() == 0;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(FrameThatStaysIncompleteIsCut) {
+  auto b = open(2);
+  auto raw = connectTo(*b);
+  auto whole = encodeFrame({InstanceId{9}, {}, {}, Kind, Bytes(100)}).value();
+  boost::asio::write(raw, boost::asio::buffer(whole.data(), whole.size() / 2));
+  BOOST_REQUIRE(runUntil([&] { return b->counts().Accepted == 1; }));
+  BOOST_TEST(runUntil([&] {
+    Time.advance(std::chrono::milliseconds(50));
+    return b->counts().CutSilent == 1;
+  }));
+  BOOST_TEST(Received.empty());
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatReadsButNeverCountsBackIsCutAndReconnected) {
+  auto a = open(1);
+  auto acceptor = listen();
+  const auto silent = fromAsio(acceptor.local_endpoint());
+  std::vector<tcp::socket> accepted;
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](auto ec, tcp::socket s) {
+      if (ec)
+        return;
+      accepted.push_back(std::move(s));
+      accept();
+    });
+  };
+  accept();
+  BOOST_TEST(runUntil([&] {
+    Time.advance(std::chrono::milliseconds(20));
+    if (a->queuedFrames() == 0)
+      a->send(silent, Kind, Bytes(1));
+    return accepted.size() >= 2;
+  }));
+  BOOST_TEST(a->counts().CutSilent >= 1U);
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatCountsFramesItNeverGotIsCut) {
+  auto a = open(1);
+  auto acceptor = listen();
+  tcp::socket peer(Io);
+  bool isUp = false;
+  acceptor.async_accept(peer, [&](auto ec) { isUp = !ec; });
+  a->send(fromAsio(acceptor.local_endpoint()), Kind, Bytes(1));
+  BOOST_REQUIRE(runUntil([&] { return isUp; }));
+  boost::asio::write(peer, boost::asio::buffer(std::string(8, '\xFF')));
+  BOOST_TEST(runUntil([&] { return a->counts().CutMalformed == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(FramesForAnAbsentPeerAreDroppedAndALaterOneArrives) {
+  auto a = open(1);
+  auto b = open(2);
+  const auto at = b->local();
+  b.reset();
+  a->send(at, Kind, Bytes(1));
+  BOOST_REQUIRE(runUntil([&] { return a->counts().ConnectFailures == 1; }));
+  BOOST_TEST(a->counts().FramesDropped == 1U);
+  InstanceIdentity self;
+  self.PeerAddress = at;
+  b = TcpPeerLink::open(Io, self, Time, Random, Log).value();
+  b->start([this](const PeerFrame &f) {
+    Received.push_back(f);
+    return true;
+  });
+  a->send(at, Kind, Bytes(2));
+  BOOST_TEST(runUntil([&] {
+    Time.advance(std::chrono::milliseconds(20));
+    return !Received.empty();
+  }));
+  BOOST_TEST(Received[0].Body.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsOverTheLimitAreTurnedAway) {
+  TcpPeerLinkOptions opt;
+  opt.MaxAccepted = 2;
+  auto b = open(2, opt);
+  std::vector<tcp::socket> all;
+  for (int n = 0; n < 3; ++n)
+    all.push_back(connectTo(*b));
+  BOOST_TEST(runUntil([&] { return b->counts().TurnedAway == 1; }));
+  BOOST_TEST(b->counts().Accepted == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
