--- a/src/request/permit_keeper.cpp
+++ b/src/request/permit_keeper.cpp
@@ -55,7 +55,7 @@
       continue;
     const auto listed =
         std::any_of(d.Held.begin(), d.Held.end(),
-                    [&id](const SlotLoan &l) { return l.Slot == id; });
+                    [&slot = id](const SlotLoan &l) { return l.Slot == slot; });
     if (!listed)
       release(s, now);
   }
