--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,11 +1,16 @@
 #include "boragebridge/instance.h"
 
+#include "flow/flow_controller.h"
+#include "membership/membership_controller.h"
 #include "request/request_controller.h"
 
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
   ControllerList all;
+  auto platform = std::make_shared<BudgetedPlatform>(ctx);
+  all.push_back(makeMembershipController(ctx, platform));
+  all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
