Add the configuration: sheet, urgent layer, acceptance, spreading

Cause: what operators accept has to be in force everywhere and stay. Change: sheet parser, head object with urgent layer and change records, ChangeWriter (conditional write, lost answers settled by reading back), ConfigurationController (bootstrap, gossip, watchers, readiness), and fakes::ControlFleet. FakePlatform keeps answers from paused instances.

--- /dev/null
+++ b/src/config/change_writer.cpp
@@ -0,0 +1,294 @@
+#include "config/change_writer.h"
+
+#include "config/config_events.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+/// Records that move to an object of their own when the head's log is full.
+static constexpr std::size_t ArchiveBatch = LogLimit / 2;
+static constexpr std::string_view ShardPrefix = "config/sheet/";
+static constexpr std::string_view ArchivePrefix = "config/log/";
+
+ChangeWriter::ChangeWriter(const ControllerContext &ctx,
+                           BudgetedPlatform &platform,
+                           const ConfigurationState &state,
+                           std::function<void(const Head &)> onHead,
+                           ChangeWriterSettings settings)
+    : Ctx(ctx), Platform(platform), State(state), OnHead(std::move(onHead)),
+      Settings(settings),
+      Accepted(ctx.Metrics.counter("config_changes_accepted_total",
+                                   "Changes that this instance accepted")),
+      NotAccepted(
+          ctx.Metrics.counter("config_changes_not_accepted_total",
+                              "Changes that this instance did not accept")),
+      InDoubtTotal(ctx.Metrics.counter("config_writes_in_doubt_total",
+                                       "Writes whose answer was lost")) {}
+
+auto ChangeWriter::submit(ChangeRequest request, ChangeDone done) -> void {
+  auto it = std::find_if(Queue.begin(), Queue.end(), [&](const auto &e) {
+    return e.Request.Id == request.Id;
+  });
+  if (it != Queue.end()) {
+    it->Done.push_back(std::move(done));
+    return;
+  }
+  if (Queue.size() >= Settings.QueueLimit) {
+    NotAccepted.add();
+    ChangeOutcome o;
+    o.State = ChangeState::Overloaded;
+    o.Detail = "too many changes wait at this instance";
+    done(o);
+    return;
+  }
+  Entry e;
+  e.Request = std::move(request);
+  e.Done.push_back(std::move(done));
+  e.Begun = Ctx.Time.now();
+  Queue.push_back(std::move(e));
+}
+
+auto ChangeWriter::isOpen(std::string_view id) const -> bool {
+  return std::any_of(Queue.begin(), Queue.end(),
+                     [id](const auto &e) { return e.Request.Id == id; });
+}
+
+auto ChangeWriter::tick(TimePoint now) -> void {
+  removeOldShards(now);
+  if (Queue.empty() || Now == Phase::Calling || now < RetryAt)
+    return;
+  if (Now == Phase::Idle)
+    readHead();
+  else if (Now == Phase::Waiting)
+    decide();
+  else
+    writeNextShard();
+}
+
+auto ChangeWriter::readHead() -> void {
+  Now = Phase::Calling;
+  Platform.get(std::string(HeadKey), [this](const auto &r) { onHeadRead(r); });
+}
+
+auto ChangeWriter::onHeadRead(const absl::StatusOr<StoredObject> &r) -> void {
+  if (!r.ok() && !absl::IsNotFound(r.status())) {
+    retryUnreachable(r.status());
+    return;
+  }
+  Stored = {};
+  StoredVersion = r.ok() ? r->Version : 0;
+  if (r.ok() && !decodeHead(r->Value, Stored)) {
+    ChangeOutcome o;
+    o.State = ChangeState::Invalid;
+    o.Detail = "the store's head is not readable";
+    Ctx.Log.write(events::ConfigurationRefused, {{"source", "platform"}});
+    finish(o);
+    return;
+  }
+  auto &e = Queue.front();
+  OnHead(Stored);
+  if (const auto *known = Stored.findChange(e.Request.Id)) {
+    accept(known->Number);
+    return;
+  }
+  // The head has moved on, so the write in doubt can no longer take effect.
+  if (e.InDoubt && *e.InDoubt != StoredVersion)
+    e.InDoubt.reset();
+  Now = Phase::Waiting;
+  decide();
+}
+
+auto ChangeWriter::decide() -> void {
+  auto &e = Queue.front();
+  if (State.revision() < Stored.Number) {
+    // The shards of the head just read have not all come yet.
+    if (Ctx.Time.now() - e.Begun > Settings.GiveUpAfter)
+      retryUnreachable(absl::UnavailableError("shards not read in time"));
+    return;
+  }
+  if (State.revision() > Stored.Number) {
+    if (Ctx.Time.now() - e.Begun > Settings.GiveUpAfter)
+      Ctx.Log.write(events::StoreIsOlder,
+                    {{"store", std::to_string(raw(Stored.Number))},
+                     {"here", std::to_string(raw(State.revision()))}});
+    retryUnreachable(
+        absl::FailedPreconditionError("the store holds an older revision"));
+    return;
+  }
+  const auto rows = State.rows();
+  if (const auto verdict = checkChange(e.Request, Stored, rows)) {
+    finish(*verdict);
+    return;
+  }
+  Next = Stored;
+  applyRecord(Next, makeRecord(e.Request, Stored, rows));
+  if (e.Request.Import)
+    planShards();
+  Now = Phase::Shards;
+  writeNextShard();
+}
+
+/// Shards whose text stays keep their key; the others get a key of this
+/// attempt alone, so that two attempts never share an object.
+auto ChangeWriter::planShards() -> void {
+  ShardWrites.clear();
+  Next.Shards.clear();
+  const auto attempt = std::to_string(Ctx.Random.next());
+  for (auto &text : cutIntoShards(*Queue.front().Request.Import)) {
+    const auto same = std::find_if(Stored.Shards.begin(), Stored.Shards.end(),
+                                   [&](const auto &key) {
+                                     const auto *old = State.shard(key);
+                                     return old != nullptr && *old == text;
+                                   });
+    if (same != Stored.Shards.end()) {
+      Next.Shards.push_back(*same);
+      continue;
+    }
+    auto key = std::string(ShardPrefix) + attempt + "/" +
+               std::to_string(Next.Shards.size());
+    Next.Shards.push_back(key);
+    ShardWrites.push_back({std::move(key), std::move(text)});
+  }
+}
+
+auto ChangeWriter::writeNextShard() -> void {
+  if (ShardWrites.empty()) {
+    writeArchive();
+    return;
+  }
+  Now = Phase::Calling;
+  const auto &w = ShardWrites.front();
+  Platform.put(w.Key, w.Text, 0, [this](absl::StatusOr<ObjectVersion> r) {
+    // Aborted: an earlier try of this write took effect.
+    if (r.ok() || absl::IsAborted(r.status())) {
+      ShardWrites.pop_front();
+      Now = Phase::Shards;
+      writeNextShard();
+      return;
+    }
+    if (Ctx.Time.now() - Queue.front().Begun > Settings.GiveUpAfter) {
+      retryUnreachable(r.status());
+      return;
+    }
+    Now = Phase::Shards;
+    RetryAt = Ctx.Time.now() + Ctx.Random.jitter(Settings.FirstRetry);
+  });
+}
+
+auto ChangeWriter::writeArchive() -> void {
+  if (Stored.Log.size() < LogLimit) {
+    writeHead();
+    return;
+  }
+  Now = Phase::Calling;
+  const std::vector<ChangeRecord> oldest(Stored.Log.begin(),
+                                         Stored.Log.begin() + ArchiveBatch);
+  const auto key =
+      std::string(ArchivePrefix) + std::to_string(raw(oldest.front().Number));
+  Platform.put(
+      key, encodeRecords(oldest), 0, [this](absl::StatusOr<ObjectVersion> r) {
+        if (!r.ok() && !absl::IsAborted(r.status())) {
+          retryUnreachable(r.status());
+          return;
+        }
+        // applyRecord() has dropped the first one already.
+        Next.Log.erase(Next.Log.begin(), Next.Log.begin() + ArchiveBatch - 1);
+        writeHead();
+      });
+}
+
+auto ChangeWriter::writeHead() -> void {
+  Now = Phase::Calling;
+  Platform.put(std::string(HeadKey), encodeHead(Next), StoredVersion,
+               [this](const auto &r) { onHeadWritten(r.status()); });
+}
+
+auto ChangeWriter::onHeadWritten(const absl::Status &s) -> void {
+  auto &e = Queue.front();
+  if (s.ok()) {
+    for (const auto &key : Stored.Shards)
+      if (std::find(Next.Shards.begin(), Next.Shards.end(), key) ==
+          Next.Shards.end())
+        OldShards.push_back({key, Ctx.Time.now() + Settings.RemoveShardsAfter});
+    OnHead(Next);
+    accept(Next.Number);
+    return;
+  }
+  if (absl::IsDeadlineExceeded(s)) {
+    e.InDoubt = StoredVersion;
+    InDoubtTotal.add();
+    Ctx.Log.write(events::ChangeInDoubt, {{"change", e.Request.Id}});
+    retry();
+    return;
+  }
+  if (absl::IsAborted(s)) {
+    retry();
+    return;
+  }
+  retryUnreachable(s);
+}
+
+auto ChangeWriter::retry() -> void {
+  constexpr unsigned MaxDoublings = 10;
+  auto &e = Queue.front();
+  const auto delay = std::min(Settings.MaxRetry,
+                              Settings.FirstRetry *
+                                  (1U << std::min(e.Attempts, MaxDoublings)));
+  ++e.Attempts;
+  ShardWrites.clear();
+  Now = Phase::Idle;
+  RetryAt = Ctx.Time.now() + Ctx.Random.jitter(delay);
+}
+
+auto ChangeWriter::retryUnreachable(const absl::Status &s) -> void {
+  const auto &e = Queue.front();
+  if (e.InDoubt || Ctx.Time.now() - e.Begun < Settings.GiveUpAfter) {
+    retry();
+    return;
+  }
+  ChangeOutcome o;
+  o.State = ChangeState::Unreachable;
+  o.Detail =
+      "not accepted: platform unreachable (" + std::string(s.message()) + ")";
+  finish(o);
+}
+
+auto ChangeWriter::accept(Revision n) -> void {
+  ChangeOutcome o;
+  o.State = ChangeState::Accepted;
+  o.Number = n;
+  if (Queue.front().Request.Import)
+    o.Kept = keptEntries(Stored);
+  finish(o);
+}
+
+auto ChangeWriter::finish(const ChangeOutcome &o) -> void {
+  auto e = std::move(Queue.front());
+  Queue.pop_front();
+  ShardWrites.clear();
+  Now = Phase::Idle;
+  const auto accepted = o.State == ChangeState::Accepted;
+  (accepted ? Accepted : NotAccepted).add();
+  Ctx.Log.write(accepted ? events::ChangeAccepted : events::ChangeNotAccepted,
+                {{"change", e.Request.Id},
+                 {"actor", e.Request.Actor},
+                 {"revision", std::to_string(raw(o.Number))},
+                 {"detail", o.Detail}});
+  for (const auto &it : e.Done)
+    it(o);
+}
+
+auto ChangeWriter::removeOldShards(TimePoint now) -> void {
+  if (OldShards.empty() || OldShards.front().Due > now ||
+      !Platform.mayCallInBackground())
+    return;
+  const auto key = OldShards.front().Key;
+  OldShards.pop_front();
+  Platform.get(key, [this, key](absl::StatusOr<StoredObject> r) {
+    if (r.ok())
+      Platform.remove(key, r->Version, [](const auto &) {});
+  });
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/test/config/configuration_controller_test.cpp
@@ -0,0 +1,372 @@
+#include "config/configuration_controller.h"
+
+#include "fakes/control_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> DataCentres{"palermo", "catania"};
+constexpr Duration ForceLimit = 3s;
+
+auto withdraw(const std::string &dc) -> Operation {
+  return {OperationKind::Withdraw, "data_centre/" + dc, ""};
+}
+
+auto drain(const std::string &host) -> Operation {
+  return {OperationKind::Drain, "upstream/" + host, ""};
+}
+
+/// Eight instances in two data centres with a sheet of 20 hosts in force.
+struct ConfigurationFixture {
+  fakes::ControlFleet Fleet{11};
+
+  ConfigurationFixture() {
+    Fleet.addInstances("e", 8, DataCentres);
+    Fleet.It.run(3s);
+    const auto o = Fleet.change(
+        "e0", fakes::makeImport("sheet", fakes::makeSheet(20, DataCentres)),
+        5s);
+    BOOST_TEST_REQUIRE((o.State == ChangeState::Accepted), o.Detail);
+    BOOST_TEST_REQUIRE((Fleet.timeToForce(o.Number, ForceLimit) < ForceLimit));
+  }
+
+  auto accept(const std::string &at, const std::string &id, const Operation &op)
+      -> Revision {
+    const auto o = Fleet.change(at, fakes::makeChange(id, {op}), 10s);
+    BOOST_TEST_REQUIRE((o.State == ChangeState::Accepted), o.Detail);
+    return o.Number;
+  }
+
+  /// Change "c1" at e0, whose write takes effect and is not answered; further
+  /// answers are lost too.
+  auto submitAndLoseAnswer() -> std::shared_ptr<const ChangeOutcome> {
+    Fleet.Faults.Delay = 50ms;
+    auto o = Fleet.submit("e0", fakes::makeChange("c1", {drain("host-1")}));
+    const auto before = Fleet.Store.currentVersion("config/head");
+    Fleet.It.run(125ms); // The head has been read, the write is on its way.
+    Fleet.Faults.LoseAnswerShare = 1;
+    Fleet.It.run(100ms);
+    BOOST_TEST_REQUIRE(Fleet.Store.currentVersion("config/head") > before);
+    return o;
+  }
+
+  auto isInForceInTime(Revision n) -> bool {
+    return Fleet.timeToForce(n, ForceLimit) < ForceLimit;
+  }
+
+  auto current(const std::string &at) {
+    return Fleet.It.instance(at).board().Configuration.read();
+  }
+
+  auto stateOf(const std::shared_ptr<const ChangeOutcome> &o) {
+    return static_cast<int>(o->State);
+  }
+};
+
+auto number(ChangeState s) -> int { return static_cast<int>(s); }
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationSpreading, ConfigurationFixture)
+
+BOOST_AUTO_TEST_CASE(ImportedSheetIsInForceAtEveryInstance) {
+  Fleet.It.run(Instance::TickInterval);
+  for (auto *it : Fleet.It.running()) {
+    BOOST_TEST(it->board().Configuration.read()->Upstreams.size() == 20U);
+    BOOST_TEST(it->board().Readiness.read()->MayServe);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UrgentWithdrawalIsInForceWithinItsTime) {
+  BOOST_TEST(isInForceInTime(accept("e3", "c1", withdraw("catania"))));
+  for (auto *it : Fleet.It.running())
+    BOOST_TEST(it->board().Configuration.read()->isWithdrawn(
+        idFromName<DataCentreId>("catania")));
+}
+
+BOOST_AUTO_TEST_CASE(ChangeReachesAllWhenItsAcceptingInstanceDiesAtOnce) {
+  const auto n = accept("e3", "c1", withdraw("catania"));
+  Fleet.It.kill("e3");
+  BOOST_TEST(isInForceInTime(n));
+}
+
+BOOST_AUTO_TEST_CASE(ChangeReachesAllOverSilentWatches) {
+  Fleet.Faults.SilentWatches = true;
+  Fleet.It.run(5s);
+  BOOST_TEST(isInForceInTime(accept("e3", "c1", withdraw("catania"))));
+}
+
+BOOST_AUTO_TEST_CASE(WriteThatBypassesTheInstancesIsSeenByTheWatchers) {
+  Head head;
+  BOOST_TEST_REQUIRE(decodeHead(Fleet.Store.peek("config/head")->Value, head));
+  applyRecord(head, {"x",
+                     "other",
+                     "",
+                     0,
+                     Revision{raw(head.Number) + 1},
+                     {withdraw("palermo")}});
+  const auto version = Fleet.Store.currentVersion("config/head");
+  BOOST_TEST_REQUIRE(
+      Fleet.Store.put("config/head", encodeHead(head), version).ok());
+  BOOST_TEST(isInForceInTime(head.Number));
+}
+
+BOOST_AUTO_TEST_CASE(CutOffDataCentreRefusesChangesServesAndCatchesUp) {
+  const auto a = idFromName<DataCentreId>("palermo");
+  const auto b = idFromName<DataCentreId>("catania");
+  Fleet.It.Network.setCut(a, b, true);
+  Fleet.Faults.CutOff.insert(b);
+  Fleet.It.run(10s);
+  const auto refused =
+      Fleet.change("e1", fakes::makeChange("c1", {drain("host-1")}), 20s);
+  BOOST_TEST(number(refused.State) == number(ChangeState::Unreachable));
+  BOOST_TEST(Fleet.It.instance("e1").board().Readiness.read()->MayServe);
+  const auto n = accept("e0", "c2", withdraw("palermo"));
+  BOOST_TEST((current("e1")->Number < n));
+  Fleet.It.Network.setCut(a, b, false);
+  Fleet.Faults.CutOff.clear();
+  Fleet.It.run(15s);
+  BOOST_TEST((Fleet.lowestRevision() >= n));
+}
+
+BOOST_AUTO_TEST_CASE(HourOfOutageKeepsServingAndAcceptsNothing) {
+  Fleet.Faults.Down = true;
+  const auto before = Fleet.lowestRevision();
+  Fleet.It.run(std::chrono::minutes(60));
+  const auto o =
+      Fleet.change("e0", fakes::makeChange("c1", {drain("host-1")}), 20s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Unreachable));
+  BOOST_TEST((Fleet.lowestRevision() == before));
+  const auto calls = Fleet.Store.calls().Gets + Fleet.Store.calls().Watches;
+  Fleet.Faults.Down = false;
+  Fleet.It.run(2s);
+  // No wave: fewer calls than a few an instance.
+  BOOST_TEST(Fleet.Store.calls().Gets + Fleet.Store.calls().Watches <
+             calls + 24);
+  Fleet.It.run(13s);
+  BOOST_TEST(isInForceInTime(accept("e0", "c2", drain("host-1"))));
+}
+
+BOOST_AUTO_TEST_CASE(EveryInstanceReplacedDuringAnOutageKeepsTheNewest) {
+  const auto n = accept("e3", "c1", withdraw("catania"));
+  Fleet.It.run(3s);
+  Fleet.Faults.Down = true;
+  for (auto k = 0; k < 8; ++k) {
+    Fleet.It.kill("e" + std::to_string(k));
+    Fleet.It.addInstance("e" + std::to_string(k),
+                         DataCentres[static_cast<std::size_t>(k) % 2]);
+    Fleet.It.run(5s);
+  }
+  BOOST_TEST((Fleet.lowestRevision() == n));
+  for (auto *it : Fleet.It.running()) {
+    BOOST_TEST(it->board().Readiness.read()->MayServe);
+    BOOST_TEST(it->board().Configuration.read()->isWithdrawn(
+        idFromName<DataCentreId>("catania")));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NewInstanceServesOnlyOnceItKnowsAConfiguration) {
+  Fleet.Faults.Down = true;
+  for (auto k = 0; k < 8; ++k)
+    Fleet.It.kill("e" + std::to_string(k));
+  Fleet.It.addInstance("new", "palermo");
+  Fleet.It.run(30s);
+  BOOST_TEST(!Fleet.It.instance("new").board().Readiness.read()->MayServe);
+  Fleet.Faults.Down = false;
+  Fleet.It.run(15s);
+  BOOST_TEST(Fleet.It.instance("new").board().Readiness.read()->MayServe);
+}
+
+BOOST_AUTO_TEST_CASE(HoldersOfARevisionAreCountedAndTheOthersNamed) {
+  const auto n = accept("e0", "c1", drain("host-1"));
+  Fleet.It.run(3s);
+  Fleet.setPaused("e5", true);
+  const auto m = accept("e0", "c2", drain("host-2"));
+  BOOST_TEST((m > n));
+  Holders h;
+  Fleet.config("e0").collectHolders(m, [&h](const auto &r) { h = r; });
+  Fleet.It.run(1s);
+  BOOST_TEST(h.Live == 8U);
+  BOOST_TEST(h.Holding == 7U);
+  BOOST_TEST_REQUIRE(h.Missing.size() == 1U);
+  BOOST_TEST(
+      (h.Missing.front() == Fleet.It.instance("e5").identity().PeerAddress));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedFramesAreRefused) {
+  auto &it = Fleet.It.instance("e0");
+  for (std::uint8_t k = 1; k <= 6; ++k)
+    BOOST_TEST(!it.onPeerFrame({{},
+                                {},
+                                {},
+                                messageKind(MessageFamily::Configuration, k),
+                                Bytes(24, std::byte{0xEE})}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationChanges, ConfigurationFixture)
+
+BOOST_AUTO_TEST_CASE(LostAnswerOfAWriteThatTookEffectEndsAsAccepted) {
+  const auto before = raw(Fleet.lowestRevision());
+  auto o = submitAndLoseAnswer();
+  Fleet.It.run(3s);
+  BOOST_TEST(stateOf(o) == number(ChangeState::Pending));
+  Fleet.Faults.LoseAnswerShare = 0;
+  Fleet.It.run(20s);
+  BOOST_TEST(stateOf(o) == number(ChangeState::Accepted));
+  BOOST_TEST(raw(o->Number) == before + 1);
+  BOOST_TEST(raw(Fleet.lowestRevision()) == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(WriteInDoubtIsNeverCalledRefused) {
+  auto o = submitAndLoseAnswer();
+  Fleet.It.run(2s);
+  Fleet.Faults.LoseAnswerShare = 0;
+  Fleet.Faults.Down = true;
+  Fleet.It.run(60s);
+  BOOST_TEST(stateOf(o) == number(ChangeState::Pending));
+  BOOST_TEST(Fleet.config("e0").isChangeOpen("c1"));
+}
+
+BOOST_AUTO_TEST_CASE(SameChangeAtTwoInstancesIsAppliedOnce) {
+  const auto before = raw(Fleet.lowestRevision());
+  const auto change = fakes::makeChange("c1", {drain("host-1")});
+  auto a = Fleet.submit("e0", change);
+  auto b = Fleet.submit("e1", change);
+  Fleet.It.run(3s);
+  BOOST_TEST(stateOf(a) == number(ChangeState::Accepted));
+  BOOST_TEST(stateOf(b) == number(ChangeState::Accepted));
+  BOOST_TEST(raw(a->Number) == before + 1);
+  BOOST_TEST(raw(b->Number) == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(RacingChangesOfOneEntryConflictAndShowBothSides) {
+  auto a = Fleet.submit("e0", fakes::makeChange("a", {drain("host-1")}));
+  auto b = Fleet.submit(
+      "e1",
+      fakes::makeChange("b", {{OperationKind::Remove, "upstream/host-1", ""}}));
+  Fleet.It.run(3s);
+  const auto &won = a->State == ChangeState::Accepted ? a : b;
+  const auto &lost = a->State == ChangeState::Accepted ? b : a;
+  BOOST_TEST(stateOf(won) == number(ChangeState::Accepted));
+  BOOST_TEST(stateOf(lost) == number(ChangeState::Conflict));
+  BOOST_TEST_REQUIRE(lost->Other.has_value());
+  BOOST_TEST(lost->Other->Id == (won == a ? "a" : "b"));
+}
+
+BOOST_AUTO_TEST_CASE(RacingChangesOfOtherEntriesMerge) {
+  std::vector<std::shared_ptr<const ChangeOutcome>> all;
+  for (auto n = 0; n < 8; ++n)
+    all.push_back(
+        Fleet.submit("e" + std::to_string(n),
+                     fakes::makeChange("c" + std::to_string(n),
+                                       {drain("host-" + std::to_string(n))})));
+  Fleet.It.run(5s);
+  for (const auto &it : all)
+    BOOST_TEST(stateOf(it) == number(ChangeState::Accepted));
+  const auto cfg = current("e0");
+  for (auto n = 0; n < 8; ++n)
+    BOOST_TEST(
+        (cfg->findUpstream(idFromName<UpstreamId>("host-" + std::to_string(n)))
+             ->Mode == UpstreamMode::Draining));
+}
+
+BOOST_AUTO_TEST_CASE(ImportKeepsAnUrgentWithdrawalAndSaysSo) {
+  accept("e0", "c1", withdraw("catania"));
+  const auto o = Fleet.change(
+      "e1", fakes::makeImport("s2", fakes::makeSheet(22, DataCentres)), 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Accepted));
+  BOOST_TEST_REQUIRE(o.Kept.size() == 1U);
+  BOOST_TEST(o.Kept.front() == "data_centre/catania withdraw");
+  BOOST_TEST(isInForceInTime(o.Number));
+  BOOST_TEST(current("e3")->isWithdrawn(idFromName<DataCentreId>("catania")));
+  BOOST_TEST(current("e3")->Upstreams.size() == 22U);
+}
+
+BOOST_AUTO_TEST_CASE(LargeRemovalTakesAConfirmation) {
+  auto import = fakes::makeImport("s2", fakes::makeSheet(10, DataCentres));
+  auto o = Fleet.change("e1", import, 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::NeedsConfirmation));
+  BOOST_TEST(current("e1")->Upstreams.size() == 20U);
+  import.Confirmed = true;
+  o = Fleet.change("e1", import, 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(AddedUpstreamKeepsItsRowWhenDrainedAndReturns) {
+  accept("e0", "c1",
+         {OperationKind::Add, "upstream/extra",
+          "upstream,extra,,booking,palermo,10.9.0.1:80,2,2000,50,active"});
+  accept("e1", "c2", drain("extra"));
+  Fleet.It.run(3s);
+  const auto cfg = current("e2");
+  const auto *it = cfg->findUpstream(idFromName<UpstreamId>("extra"));
+  BOOST_TEST_REQUIRE(it != nullptr);
+  BOOST_TEST((it->Mode == UpstreamMode::Draining));
+  BOOST_TEST(it->SpeedPercent == 50U);
+  accept("e1", "c3", {OperationKind::Clear, "upstream/extra", ""});
+  Fleet.It.run(3s);
+  BOOST_TEST((current("e2")->findUpstream(idFromName<UpstreamId>("extra")) ==
+              nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(TeamChangesOnlyItsOwnServices) {
+  auto change = fakes::makeChange("c1", {drain("host-1")});
+  change.Team = "booking-team"; // host-1 serves uploads.
+  auto o = Fleet.change("e0", change, 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Forbidden));
+  change.Team = "uploads-team";
+  o = Fleet.change("e0", change, 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Accepted));
+  change = fakes::makeChange("c2", {withdraw("palermo")});
+  change.Team = "uploads-team";
+  o = Fleet.change("e0", change, 5s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Forbidden));
+}
+
+BOOST_AUTO_TEST_CASE(LogOutgrowsTheHeadIntoObjectsOfItsOwn) {
+  fakes::ControlFleet one(12);
+  one.addInstances("e", 1, DataCentres);
+  one.It.run(1s);
+  one.change("e0", fakes::makeImport("s", fakes::makeSheet(2, DataCentres)),
+             5s);
+  for (std::size_t n = 0; n < LogLimit + 8; ++n) {
+    const auto o = one.change(
+        "e0", fakes::makeChange("c" + std::to_string(n), {drain("host-1")}),
+        5s);
+    BOOST_TEST_REQUIRE((o.State == ChangeState::Accepted), o.Detail);
+    one.It.run(300ms); // Stays within the instance's budget of calls.
+  }
+  Head head;
+  BOOST_TEST_REQUIRE(decodeHead(one.Store.peek("config/head")->Value, head));
+  const auto *archive = one.Store.peek("config/log/1");
+  BOOST_TEST_REQUIRE(archive != nullptr);
+  std::vector<ChangeRecord> records;
+  BOOST_TEST_REQUIRE(decodeRecords(archive->Value, records));
+  BOOST_TEST(raw(records.back().Number) + 1 == raw(head.Log.front().Number));
+  BOOST_TEST(raw(head.Number) == LogLimit + 9);
+}
+
+BOOST_AUTO_TEST_CASE(StoreThatFellBackDoesNotTakeInstancesWithIt) {
+  const auto old = Fleet.Store.peek("config/head")->Value;
+  const auto n = accept("e0", "c1", withdraw("catania"));
+  BOOST_TEST_REQUIRE(
+      Fleet.Store
+          .put("config/head", old, Fleet.Store.currentVersion("config/head"))
+          .ok());
+  Fleet.It.run(10s);
+  BOOST_TEST((Fleet.lowestRevision() == n));
+  const auto o =
+      Fleet.change("e1", fakes::makeChange("c2", {drain("host-1")}), 20s);
+  BOOST_TEST(number(o.State) == number(ChangeState::Unreachable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
