--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,6 +1,7 @@
 #include "boragebridge/instance.h"
 
 #include "flow/flow_controller.h"
+#include "config/configuration_controller.h"
 #include "membership/membership_controller.h"
 #include "request/request_controller.h"
 
@@ -12,6 +13,7 @@
   all.push_back(makeMembershipController(ctx, platform));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, nullptr));
+  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
   return all;
 }
 
