--- /dev/null
+++ b/bench/load_flows.cpp
@@ -0,0 +1,124 @@
+#include "load_flows.h"
+
+#include <algorithm>
+
+namespace boragebridge::bench {
+
+/// Callers' addresses are 10.64.0.0 and up, one for each flow ever opened.
+static constexpr std::uint32_t FirstCaller = 0x0A400000;
+static constexpr std::uint16_t CallerPort = 40000;
+/// Flows opened in one tick at most, so that the start is no burst.
+static constexpr std::size_t OpensPerTick = 4;
+
+FlowLoad::FlowLoad(FlowLoadOptions opt, const Clock &time, RandomSource &random,
+                   Send send)
+    : Options(std::move(opt)), Time(time), Random(random),
+      SendPacket(std::move(send)) {}
+
+auto FlowLoad::open(FlowMeasures &m) -> void {
+  const auto now = Time.now();
+  const auto &service = Options.Services[Random.below(Options.Services.size())];
+  Flow f;
+  f.Key = {{FirstCaller + NextCaller++, CallerPort}, service.Address, 6};
+  f.Fabric = Options.Fabrics[Random.below(Options.Fabrics.size())];
+  f.NextSend = now;
+  f.LastHeard = now;
+  f.EndsAt = Random.unit() < Options.ShortShare
+                 ? now + Random.jitter(Options.ShortLife)
+                 : TimePoint::max();
+  ++m.Opened;
+  Flows.emplace(f.Key.Caller, std::move(f));
+}
+
+auto FlowLoad::sendNext(Flow &f, FlowMeasures &m) -> void {
+  Packet p{PacketKind::FlowData, f.Key, Bytes(16)};
+  if (f.Upstream.empty())
+    p.Kind = PacketKind::FlowOpen;
+  const auto number = f.NextNumber++;
+  for (std::size_t i = 0; i < sizeof(number); ++i)
+    p.Payload[i] = static_cast<std::byte>(number >> (8 * i));
+  f.NextSend = Time.now() + Random.jitter(Options.Interval);
+  ++m.PacketsSent;
+  SendPacket(f.Fabric, p);
+}
+
+auto FlowLoad::isGivenUp(const Flow &f) const -> bool {
+  const auto dc = f.Upstream.substr(0, f.Upstream.find('-'));
+  return Withdrawn.contains(dc);
+}
+
+auto FlowLoad::countBroken(const Flow &f, std::uint64_t &counter,
+                           FlowMeasures &m) -> void {
+  ++(isGivenUp(f) ? m.GivenUp : counter);
+}
+
+/// False when the flow has ended.
+auto FlowLoad::step(Flow &f, TimePoint now, FlowMeasures &m) -> bool {
+  if (now >= f.EndsAt && !f.Upstream.empty()) {
+    SendPacket(f.Fabric, {PacketKind::FlowClose, f.Key, {}});
+    ++m.Closed;
+    return false;
+  }
+  if (now - f.LastHeard > Options.SilenceLimit) {
+    if (f.Upstream.empty())
+      ++m.OpenFailed;
+    else
+      countBroken(f, m.BrokenBySilence, m);
+    return false;
+  }
+  if (now >= f.NextSend)
+    sendNext(f, m);
+  return true;
+}
+
+auto FlowLoad::tick(FlowMeasures &m) -> void {
+  const auto now = Time.now();
+  for (std::size_t n = 0; n < OpensPerTick && Flows.size() < Options.Flows; ++n)
+    open(m);
+  for (auto it = Flows.begin(); it != Flows.end();)
+    it = step(it->second, now, m) ? std::next(it) : Flows.erase(it);
+}
+
+auto FlowLoad::onPacket(const Packet &p, FlowMeasures &m) -> void {
+  auto it = Flows.find(p.Flow.Caller);
+  if (it == Flows.end())
+    return;
+  auto &f = it->second;
+  if (p.Kind == PacketKind::FlowReset) {
+    if (f.Upstream.empty())
+      ++m.OpenFailed;
+    else
+      countBroken(f, m.BrokenByReset, m);
+    Flows.erase(it);
+    return;
+  }
+  const auto end =
+      std::find(p.Payload.begin(), p.Payload.end(), std::byte{' '});
+  std::string upstream;
+  for (auto at = p.Payload.begin(); at != end; ++at)
+    upstream.push_back(static_cast<char>(*at));
+  if (!f.Upstream.empty() && f.Upstream != upstream) {
+    countBroken(f, m.BrokenByOtherUpstream, m);
+    Flows.erase(it);
+    return;
+  }
+  f.Upstream = upstream;
+  f.LastHeard = Time.now();
+  ++m.PacketsAnswered;
+}
+
+auto FlowLoad::setWithdrawn(const std::string &name, bool withdrawn) -> void {
+  if (withdrawn)
+    Withdrawn.insert(name);
+  else
+    Withdrawn.erase(name);
+}
+
+auto FlowLoad::established() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Flows.begin(), Flows.end(), [](const auto &it) {
+        return !it.second.Upstream.empty();
+      }));
+}
+
+} // namespace boragebridge::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,6 +13,7 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"load", "callers against running processes", runLoad},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
     Experiment{"--version", "print the version", runVersion},
