Add the health controller: fitness, ramps and speeds of upstreams

Health endpoints lag and mislead, and a cold upstream falls over when every instance sends it work at once. Nothing decided yet what may be sent where.

One instance per upstream, by rendezvous hashing over the live ones, assesses it from what all of them see: the packet path first, then its silence, then probes and reports. The opinion has a version and is gossiped within a budget; only the owner admits requests to a cold upstream. Half of a service's upstreams stay in use whatever the signals say. HealthView gains MayAdmit.

OwnerThatDiesLeavesTheColdUpstreamToAnother first failed: the view was not rebuilt while an upstream was only warming.

--- a/include/boragebridge/blackboard.h
+++ b/include/boragebridge/blackboard.h
@@ -66,13 +66,20 @@
 /// Owner: upstream health.
 struct UpstreamHealth {
   UpstreamFitness Fitness = UpstreamFitness::Cold;
-  /// Share of full load it may get now, from 0 to 1.
+  /// Share of full load it may get now, from 0 to 1. New flows follow Ramp
+  /// times SpeedPercent; a cold upstream has a small one, so that new flows
+  /// can warm it.
   double Ramp = 0;
   /// Measured speed relative to an ordinary host, in percent.
   double SpeedPercent = 100;
+  /// Whether this instance may send it new requests. While it is Cold or
+  /// Warming that is one instance of the fleet, and the fleet's permits for it
+  /// are max(1, Slots times Ramp), all at that instance.
+  bool MayAdmit = false;
+  auto operator==(const UpstreamHealth &) const -> bool = default;
 };
 
-/// Health of the upstreams this instance has an opinion on.
+/// Health of every upstream of the configuration.
 struct HealthView {
   std::unordered_map<UpstreamId, UpstreamHealth> Upstreams;
 };
--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,10 +1,12 @@
 #include "boragebridge/instance.h"
 
+#include "health/health_controller.h"
+
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
-  static_cast<void>(ctx);
   ControllerList all;
+  all.push_back(makeHealthController(ctx));
   return all;
 }
 
--- /dev/null
+++ b/src/health/health_wire.h
@@ -0,0 +1,54 @@
+/// \file
+/// Health messages to and from bytes. Every decoder verifies the body and
+/// returns nothing for one that is malformed or over its limit.
+#ifndef BORAGEBRIDGE_HEALTH_HEALTH_WIRE_H
+#define BORAGEBRIDGE_HEALTH_HEALTH_WIRE_H
+
+#include "boragebridge/peer_link.h"
+#include "health/assessment.h"
+#include "health/observation.h"
+
+#include <optional>
+
+namespace boragebridge {
+
+inline constexpr auto OpinionsKind = messageKind(MessageFamily::Health, 1);
+inline constexpr auto SightingsKind = messageKind(MessageFamily::Health, 2);
+inline constexpr auto OpinionRequestKind =
+    messageKind(MessageFamily::Health, 3);
+/// Opinions that answer an OpinionRequest; none of them: the end.
+inline constexpr auto OpinionPageKind = messageKind(MessageFamily::Health, 4);
+
+/// The most entries of one message.
+inline constexpr std::size_t HealthEntryLimit = 64;
+
+/// An opinion and the upstream that it is on.
+struct NamedOpinion {
+  UpstreamId Upstream{};
+  Opinion Content;
+};
+
+/// A sighting and the upstream that it is of.
+struct NamedSighting {
+  UpstreamId Upstream{};
+  Sighting Content;
+};
+
+auto encodeOpinions(const std::vector<NamedOpinion> &all) -> Bytes;
+auto decodeOpinions(ByteView body) -> std::optional<std::vector<NamedOpinion>>;
+auto encodeSightings(const std::vector<NamedSighting> &all) -> Bytes;
+auto decodeSightings(ByteView body)
+    -> std::optional<std::vector<NamedSighting>>;
+/// Asks for the opinions on upstreams whose identifiers are above \p after.
+auto encodeOpinionRequest(UpstreamId after) -> Bytes;
+auto decodeOpinionRequest(ByteView body) -> std::optional<UpstreamId>;
+
+/// Payloads of Probe and Report packets.
+auto encodeProbe(std::uint64_t sequence) -> Bytes;
+auto decodeProbe(ByteView body) -> std::optional<std::uint64_t>;
+auto encodeReport(const UpstreamReport &r) -> Bytes;
+auto decodeReport(ByteView body) -> std::optional<UpstreamReport>;
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/test/health/health_controller_test.cpp
@@ -0,0 +1,203 @@
+#include "health/health_controller.h"
+
+#include "health/health_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace std::chrono_literals;
+
+namespace boragebridge {
+
+namespace {
+
+struct HealthFixture {
+  fakes::HealthFleet Fleet{11};
+
+  auto falls() const -> std::uint64_t {
+    std::uint64_t n = 0;
+    for (const auto &it : Fleet.Hosts)
+      n += it->counts().Falls;
+    return n;
+  }
+  auto overLimit() const -> std::uint64_t {
+    std::uint64_t n = 0;
+    for (const auto &it : Fleet.Hosts)
+      n += it->counts().ColdOverLimit;
+    return n;
+  }
+  /// Upstreams that are all warm and seen as such by every instance.
+  auto makeReady(std::size_t n) -> void {
+    Fleet.addUpstreams(n, false);
+    Fleet.run(30s, 30);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HealthControllerTest, HealthFixture)
+
+BOOST_AUTO_TEST_CASE(EightInstancesShareOnePermitOfNewUpstreams) {
+  Fleet.addUpstreams(6, true);
+  Fleet.run(2s, 200);
+  for (std::size_t n = 0; n < 6; ++n)
+    BOOST_TEST(Fleet.countAdmitting(n) == 1);
+  Fleet.run(30s, 200);
+  for (std::size_t n = 0; n < 6; ++n)
+    BOOST_TEST(Fleet.countFitness(n, UpstreamFitness::Ready) == 8);
+  BOOST_TEST(falls() == 0);
+  BOOST_TEST(overLimit() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ColdTurnSeenByEightInstancesAtOnceDoesNotCrush) {
+  makeReady(6);
+  Fleet.Hosts[0]->turnCold(Fleet.It.Time.now());
+  for (auto *it : Fleet.It.running())
+    if (Fleet.Hosts[0]->counts().ColdOverLimit < 4)
+      Fleet.send(*it, 0);
+  Fleet.run(300ms, 200);
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Cold) == 8);
+  BOOST_TEST(Fleet.countAdmitting(0) <= 1);
+  Fleet.run(30s, 200);
+  BOOST_TEST(falls() == 0);
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Ready) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(ReturnUnderTheSameAddressStartsCold) {
+  makeReady(4);
+  Fleet.Hosts[1]->kill(Fleet.It.Time.now());
+  Fleet.run(5s, 100);
+  BOOST_TEST(Fleet.countFitness(1, UpstreamFitness::Unfit) == 8);
+  BOOST_TEST(Fleet.countAdmitting(1) == 0);
+  Fleet.Hosts[1]->restart(Fleet.It.Time.now());
+  Fleet.run(30s, 200);
+  BOOST_TEST(falls() == 0);
+  BOOST_TEST(overLimit() == 0);
+  BOOST_TEST(Fleet.countFitness(1, UpstreamFitness::Ready) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(QuickRestartIsSeenByItsIncarnation) {
+  makeReady(4);
+  Fleet.Hosts[1]->restart(Fleet.It.Time.now());
+  Fleet.run(2s, 0);
+  BOOST_TEST(Fleet.countFitness(1, UpstreamFitness::Cold) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(MissingReportsLeaveAnAnsweringUpstreamInUse) {
+  makeReady(4);
+  for (auto &it : Fleet.Hosts)
+    it->setFaults(fakes::ReportFaults{.Missing = true});
+  Fleet.run(10s, 50);
+  for (std::size_t n = 0; n < 4; ++n)
+    BOOST_TEST(Fleet.countFitness(n, UpstreamFitness::Ready) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(FalseProbeSilenceOfAllLeavesHalfInUse) {
+  makeReady(6);
+  for (auto &it : Fleet.Hosts)
+    it->setFaults(fakes::ReportFaults{.Missing = true});
+  Fleet.run(20s, 0);
+  for (auto *it : Fleet.It.running()) {
+    std::size_t usable = 0;
+    for (std::size_t n = 0; n < 6; ++n)
+      usable += Fleet.view(it->identity().Name, n).MayAdmit ? 1 : 0;
+    BOOST_TEST(usable >= 3);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReportsThatClaimFullDoNotOutrankGoodAnswers) {
+  makeReady(4);
+  for (auto &it : Fleet.Hosts)
+    it->setFaults(fakes::ReportFaults{.ClaimsFull = true});
+  Fleet.run(10s, 50);
+  for (std::size_t n = 0; n < 4; ++n)
+    BOOST_TEST(Fleet.countFitness(n, UpstreamFitness::Ready) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(SheddingLowersTheRampSlowlyAndRecovers) {
+  makeReady(4);
+  Fleet.Hosts[2]->setShedding(true);
+  Fleet.run(1s, 100);
+  // At most 20% of full load a second, and one step.
+  BOOST_TEST(Fleet.view("i0", 2).Ramp >= 0.78);
+  Fleet.run(9s, 100);
+  BOOST_TEST(Fleet.view("i0", 2).Ramp <= 0.2);
+  Fleet.Hosts[2]->setShedding(false);
+  Fleet.run(20s, 100);
+  BOOST_TEST(Fleet.view("i0", 2).Ramp == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(WithdrawnDataCentreIsNotProbedAndReturnsCold) {
+  makeReady(3);
+  auto &dc = Fleet.Config.DataCentres.front();
+  dc.Withdrawn = true;
+  Fleet.publish();
+  std::size_t probes = 0;
+  auto deliver = Fleet.It.OnUpstreamPacket;
+  Fleet.It.OnUpstreamPacket = [&](auto &from, const auto &to, const auto &p) {
+    ++probes;
+    deliver(from, to, p);
+  };
+  Fleet.run(5s, 50);
+  BOOST_TEST(probes == 0);
+  BOOST_TEST(Fleet.countAdmitting(0) == 0);
+  dc.Withdrawn = false;
+  Fleet.publish();
+  Fleet.run(600ms, 0);
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Cold) == 8);
+  BOOST_TEST(Fleet.countAdmitting(0) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RestartedInstanceLearnsWhatTheOthersKnow) {
+  makeReady(5);
+  Fleet.It.kill("i3");
+  Fleet.It.publishMembership();
+  Fleet.It.addInstance("i3", "pa");
+  Fleet.publish();
+  Fleet.run(3s, 0);
+  for (std::size_t n = 0; n < 5; ++n)
+    BOOST_TEST(Fleet.countFitness(n, UpstreamFitness::Ready) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerThatDiesLeavesTheColdUpstreamToAnother) {
+  Fleet.addUpstreams(1, true);
+  Fleet.run(2s, 20);
+  for (auto *it : Fleet.It.running()) {
+    const auto name = it->identity().Name;
+    if (!Fleet.view(name, 0).MayAdmit)
+      continue;
+    Fleet.It.kill(name);
+    break;
+  }
+  Fleet.publish();
+  Fleet.run(30s, 100);
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Ready) == 7);
+  BOOST_TEST(falls() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ProbesOfAnInstanceDoNotGrowWithTheFleet) {
+  fakes::HealthFleet large(5, 32);
+  large.addUpstreams(32, false);
+  large.run(10s, 0);
+  for (auto *it : large.It.running()) {
+    // Two probers an upstream, two probes a second each, and thrice the mean
+    // for an uneven hash.
+    const auto sent = it->metrics().counterValue("health_probes_sent_total");
+    BOOST_TEST(sent <= 3 * 2 * 2 * 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MalformedFramesAndReportsAreRefused) {
+  Fleet.addUpstreams(1, false);
+  auto &it = Fleet.It.instance("i0");
+  for (std::uint8_t n = 0; n < 6; ++n) {
+    const auto kind = messageKind(MessageFamily::Health, n);
+    BOOST_TEST(!it.onPeerFrame({{}, {}, {}, kind, Bytes(7)}));
+  }
+  it.onPacket(PacketOrigin::Upstream, Fleet.Config.Upstreams[0].Address,
+              {PacketKind::Report, {}, Bytes(3)});
+  BOOST_TEST(it.metrics().counterValue("health_reports_bad_total") == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
