--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -4,6 +4,7 @@
 #include "config/configuration_controller.h"
 #include "membership/membership_controller.h"
 #include "request/request_controller.h"
+#include "health/health_controller.h"
 
 namespace boragebridge {
 
@@ -14,6 +15,7 @@
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, nullptr));
   all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
+  all.push_back(makeHealthController(ctx));
   return all;
 }
 
