--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,6 +13,7 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"load", "callers against running processes", runLoad},
     Experiment{"flows", "flows that break through changes and faults",
                runFlows},
     Experiment{"cost", "cost of a decision and of a generation", runCost},
--- a/src/flow/flow_controller.cpp
+++ b/src/flow/flow_controller.cpp
@@ -20,6 +20,9 @@
       DecidedPackets(ctx.Metrics.counter(
           "flow_packets_decided_total",
           "Packets of unsettled slots decided by this instance")),
+      CachedPackets(ctx.Metrics.counter(
+          "flow_packets_cached_total",
+          "Packets of unsettled slots forwarded by a cached decision")),
       RelayedPackets(
           ctx.Metrics.counter("flow_packets_relayed_total",
                               "Packets relayed to the instance that decides")),
@@ -117,7 +120,18 @@
   if (owners.Home.Id == Context.Self.Id)
     decideHere(fp, now);
   else
-    relay(owners.Home, fp, 1);
+    decideElsewhere(fp, owners.Home, now);
+}
+
+auto FlowController::decideElsewhere(const FlowPacket &p, const Peer &home,
+                                     TimePoint now) -> void {
+  const auto upstream = Home.cached(p, now);
+  if (upstream == UpstreamId{}) {
+    relay(home, p, 1);
+    return;
+  }
+  CachedPackets.add();
+  forward(Directory.target(p.Entry.Service, upstream), p.Content, p.Flow, now);
 }
 
 auto FlowController::passOn(const FlowPacket &p) -> void {
@@ -175,6 +189,8 @@
     return true;
   }
   fp.Slot = e->Placement->slotOf(h);
+  if (m.Hops == 1 && m.Content.Kind == PacketKind::FlowData)
+    Home.noteRelayed(fp, {f.Sender, f.SenderAddress});
   decideHere(fp, now);
   return true;
 }
--- a/src/flow/flow_home.cpp
+++ b/src/flow/flow_home.cpp
@@ -10,6 +10,8 @@
 /// repeated opening packet stands for the same flow.
 static constexpr auto ReorderLimit = std::chrono::seconds(1);
 static constexpr auto ReopenLimit = std::chrono::seconds(10);
+/// A cached record is used for this fraction of the idle limit.
+static constexpr auto CacheShare = 8;
 
 static auto slotKey(ServiceId service, std::uint32_t slot) -> std::uint64_t {
   return hashPair(raw(service), slot);
@@ -56,6 +58,32 @@
   return r->Upstream;
 }
 
+auto FlowHome::cached(const FlowPacket &p, TimePoint now) -> UpstreamId {
+  if (p.Content.Kind == PacketKind::FlowOpen) {
+    Records.erase(p.Flow);
+    return {};
+  }
+  auto *r = Records.find(p.Flow);
+  if (p.Content.Kind != PacketKind::FlowData || r == nullptr || r->Closing ||
+      r->Service != p.Entry.Service)
+    return {};
+  r->LastHeard = now;
+  if (now - r->LastRelayed >= Options.IdleLimit / CacheShare) {
+    r->LastRelayed = now;
+    return {};
+  }
+  return r->Upstream;
+}
+
+auto FlowHome::noteRelayed(const FlowPacket &p, const Peer &from) -> void {
+  constexpr std::uint8_t RelaysBeforeHint = 4;
+  auto *r = Records.find(p.Flow);
+  if (r == nullptr || ++r->Relays < RelaysBeforeHint || !Stream.hasRoom())
+    return;
+  r->Relays = 0;
+  Stream.push(from, p.Entry.Service, p.Flow, r->Upstream);
+}
+
 auto FlowHome::peerToAsk(const FlowPacket &p, TimePoint now) -> Peer {
   const auto owners = Members.owners(p.Entry.Service, p.Slot);
   const auto self = Context.Self.Id;
@@ -171,6 +199,12 @@
   Trials.erase(h);
 }
 
+auto FlowHome::isHomeOf(ServiceId service, FlowHash h) -> bool {
+  const auto *p = Agreement.find(service);
+  return p != nullptr && p->isActive() &&
+         Members.owners(service, p->slotOf(raw(h))).Home.Id == Context.Self.Id;
+}
+
 auto FlowHome::onReset(FlowHash h, const Endpoint &from, TimePoint now)
     -> ResetOutcome {
   auto *t = Trials.find(h);
@@ -179,6 +213,12 @@
     if (r != nullptr &&
         Directory.target(r->Service, r->Upstream).Address != from)
       return {true, nullptr, {}};
+    // A cached record may be of an earlier flow with the same ports: only the
+    // home's word counts, at the caller's next packet.
+    if (r != nullptr && !isHomeOf(r->Service, h)) {
+      Records.erase(h);
+      return {true, nullptr, {}};
+    }
     onEnd(h, now);
     return {};
   }
@@ -220,6 +260,7 @@
     r.Service = m.Service;
     r.Upstream = it.Upstream;
     r.LastHeard = now;
+    r.LastRelayed = now;
     if (!Records.put(it.Flow, r))
       NotRecorded.add();
     else
--- a/src/flow/flow_home.h
+++ b/src/flow/flow_home.h
@@ -31,6 +31,13 @@
 
   /// The upstream recorded for \p p; none when there is no record.
   auto recorded(const FlowPacket &p, TimePoint now) -> UpstreamId;
+  /// The upstream of \p p by what its home told this instance; none when a
+  /// packet is to go to the home, as one must from time to time so that the
+  /// home hears of the flow.
+  auto cached(const FlowPacket &p, TimePoint now) -> UpstreamId;
+  /// \p from has relayed \p p, which has a record. Tells it the upstream of a
+  /// flow that it relays often.
+  auto noteRelayed(const FlowPacket &p, const Peer &from) -> void;
   /// Another instance that may have the record of \p p; null when there is
   /// none to ask.
   auto peerToAsk(const FlowPacket &p, TimePoint now) -> Peer;
@@ -66,6 +73,7 @@
       -> UpstreamId;
   auto decideMidFlow(const FlowPacket &p, UpstreamId choice, TimePoint now)
       -> UpstreamId;
+  auto isHomeOf(ServiceId service, FlowHash h) -> bool;
   auto isLearning(const ServicePlacement &p, TimePoint now) const -> bool;
   auto record(const FlowPacket &p, UpstreamId u, bool opened, TimePoint now)
       -> void;
