--- a/src/flow/flow_controller.cpp
+++ b/src/flow/flow_controller.cpp
@@ -46,7 +46,8 @@
   if (SeenMembership == Context.Board.Membership.version())
     return;
   SeenMembership = Context.Board.Membership.version();
-  Members.update(*Context.Board.Membership.read(), Stopping);
+  Members.update(*Context.Board.Membership.read(), Stopping,
+                 Context.Time.now());
 }
 
 auto FlowController::tick(TimePoint now) -> void {
@@ -104,7 +105,7 @@
   }
   const auto h = hashFlow(p.Flow);
   const auto *t = Agreement.isCurrent() ? settledTargetOf(*e, h) : nullptr;
-  if (t != nullptr) {
+  if (t != nullptr && t->Use != TargetUse::Unknown) {
     SettledPackets.add();
     forward(*t, p, FlowHash{h}, now);
     return;
@@ -126,12 +127,13 @@
 auto FlowController::decideElsewhere(const FlowPacket &p, const Peer &home,
                                      TimePoint now) -> void {
   const auto upstream = Home.cached(p, now);
-  if (upstream == UpstreamId{}) {
+  const auto t = Directory.target(p.Entry.Service, upstream);
+  if (upstream == UpstreamId{} || t.Use == TargetUse::Unknown) {
     relay(home, p, 1);
     return;
   }
   CachedPackets.add();
-  forward(Directory.target(p.Entry.Service, upstream), p.Content, p.Flow, now);
+  forward(t, p.Content, p.Flow, now);
 }
 
 auto FlowController::passOn(const FlowPacket &p) -> void {
@@ -207,11 +209,26 @@
   }
   if (upstream == UpstreamId{})
     upstream = Home.decide(p, now);
+  const auto t = Directory.target(p.Entry.Service, upstream);
+  if (t.Use == TargetUse::Unknown) {
+    passToOwner(p);
+    return;
+  }
   DecidedPackets.add();
   if (p.Content.Kind == PacketKind::FlowClose ||
       p.Content.Kind == PacketKind::FlowReset)
     Home.onEnd(p.Flow, now);
-  forward(Directory.target(p.Entry.Service, upstream), p.Content, p.Flow, now);
+  forward(t, p.Content, p.Flow, now);
+}
+
+auto FlowController::passToOwner(const FlowPacket &p) -> void {
+  const auto owners = Members.owners(p.Entry.Service, p.Slot);
+  const auto &to =
+      owners.Home.Id == Context.Self.Id ? owners.Mirror : owners.Home;
+  if (to.Id == InstanceId{} || p.Hops >= LastHop)
+    DroppedPackets.add();
+  else
+    relay(to, p, LastHop);
 }
 
 auto FlowController::forward(const Target &t, const Packet &p, FlowHash h,
@@ -264,7 +281,7 @@
     return;
   Stopping = true;
   StopSince = Context.Time.now();
-  Members.update(*Context.Board.Membership.read(), true);
+  Members.update(*Context.Board.Membership.read(), true, StopSince);
   Home.beginHandOver();
 }
 
--- a/src/flow/flow_controller.h
+++ b/src/flow/flow_controller.h
@@ -46,6 +46,8 @@
   auto decideElsewhere(const FlowPacket &p, const Peer &home, TimePoint now)
       -> void;
   auto passOn(const FlowPacket &p) -> void;
+  /// To the other owner of the slot, which has a later configuration.
+  auto passToOwner(const FlowPacket &p) -> void;
   auto relay(const Peer &to, const FlowPacket &p, std::uint8_t hops) -> void;
   auto forward(const Target &t, const Packet &p, FlowHash h, TimePoint now)
       -> void;
--- a/src/flow/flow_home.cpp
+++ b/src/flow/flow_home.cpp
@@ -89,12 +89,19 @@
   const auto self = Context.Self.Id;
   if (owners.Home.Id != self)
     return Members.canBeAsked(owners.Home.Id) ? owners.Home : Peer{};
+  // Only what was unsettled before this instance became its home has records
+  // elsewhere, and only as long as a flow may be silent.
+  const auto since = Agreement.unsettledSince(p.Entry.Service);
+  const auto isInherited = [&](TimePoint change) {
+    return since && *since <= change && now - change < Options.IdleLimit;
+  };
   const auto former = Members.formerHome(p.Entry.Service, p.Slot);
-  if (former.Id != InstanceId{} && Members.canBeAsked(former.Id))
+  if (former.Id != InstanceId{} && isInherited(Members.changedAt()) &&
+      Members.canBeAsked(former.Id))
     return former;
   const auto synced = Agreement.syncedAt();
-  if (synced && now - *synced < Options.IdleLimit &&
-      owners.Mirror.Id != InstanceId{} && Members.canBeAsked(owners.Mirror.Id))
+  if (synced && isInherited(*synced) && owners.Mirror.Id != InstanceId{} &&
+      Members.canBeAsked(owners.Mirror.Id))
     return owners.Mirror;
   return {};
 }
@@ -287,29 +294,45 @@
     tickHandOver(now);
 }
 
-auto FlowHome::canSettle(const ServicePlacement &p, TimePoint now) const
-    -> bool {
-  const auto synced = Agreement.syncedAt();
+auto FlowHome::canSettle(const ServicePlacement &p) const -> bool {
   return p.isActive() && p.isNewestActive() &&
-         p.activeSince() + Options.IdleLimit <= PassStart &&
-         (!synced || *synced + Options.IdleLimit <= now);
+         p.activeSince() + Options.IdleLimit <= PassStart;
+}
+
+auto FlowHome::isOwnSlotReady(ServiceId service, std::uint32_t slot,
+                              TimePoint now) -> bool {
+  const auto key = slotKey(service, slot);
+  if (Members.owners(service, slot).Home.Id != Context.Self.Id) {
+    HomeSince.erase(key);
+    return false;
+  }
+  // A new home has heard of all flows only after the idle limit.
+  const auto since = HomeSince.try_emplace(key, now).first->second;
+  return now - since >= Options.IdleLimit && !LastForeign.contains(key);
 }
 
 auto FlowHome::settleSlots(TimePoint now) -> void {
-  if (!Agreement.isCurrent())
+  constexpr auto SettleInterval = std::chrono::seconds(1);
+  if (!Agreement.isCurrent() || now - LastSettle < SettleInterval)
     return;
-  std::vector<ServiceId> ready;
-  for (const auto &[service, p] : Agreement.placements())
-    if (!p.unsettledSlots().empty() && canSettle(p, now))
-      ready.push_back(service);
-  for (auto service : ready) {
-    std::vector<std::uint16_t> slots;
-    for (auto slot : Agreement.find(service)->unsettledSlots())
-      if (!LastForeign.contains(slotKey(service, slot)) &&
-          Members.owners(service, slot).Home.Id == Context.Self.Id)
-        slots.push_back(slot);
-    SettledSlots.add(slots.size());
-    Agreement.announceSettled(service, std::move(slots));
+  LastSettle = now;
+  if (SeenSync != Agreement.syncedAt())
+    HomeSince.clear();
+  SeenSync = Agreement.syncedAt();
+  std::vector<SettledMessage> settled;
+  for (const auto &[service, p] : Agreement.placements()) {
+    SettledMessage m{service, {}, {}};
+    for (auto slot : p.unsettledSlots())
+      if (isOwnSlotReady(service, slot, now) && canSettle(p))
+        m.Slots.push_back(slot);
+    if (!m.Slots.empty())
+      settled.push_back(std::move(m));
+  }
+  for (auto &m : settled) {
+    for (auto slot : m.Slots)
+      HomeSince.erase(slotKey(m.Service, slot));
+    SettledSlots.add(m.Slots.size());
+    Agreement.announceSettled(m.Service, std::move(m.Slots));
   }
 }
 
--- a/src/flow/flow_home.h
+++ b/src/flow/flow_home.h
@@ -81,7 +81,9 @@
       -> void;
   auto noteForeign(ServiceId service, FlowHash h, UpstreamId u) -> void;
   auto settleSlots(TimePoint now) -> void;
-  auto canSettle(const ServicePlacement &p, TimePoint now) const -> bool;
+  auto canSettle(const ServicePlacement &p) const -> bool;
+  auto isOwnSlotReady(ServiceId service, std::uint32_t slot, TimePoint now)
+      -> bool;
   auto tickHandOver(TimePoint now) -> void;
 
   const ControllerContext &Context;
@@ -98,6 +100,10 @@
   SlotSet Foreign;
   SlotSet LastForeign;
   TimePoint PassStart;
+  /// Unsettled slots that this instance is home of, and since when.
+  std::unordered_map<std::uint64_t, TimePoint> HomeSince;
+  std::optional<TimePoint> SeenSync;
+  TimePoint LastSettle;
   bool HandOverBegun = false;
   bool HandOverDone = false;
   Counter &Tried;
--- a/src/flow/live_members.cpp
+++ b/src/flow/live_members.cpp
@@ -4,7 +4,8 @@
 
 namespace boragebridge {
 
-auto LiveMembers::update(const MembershipView &view, bool leaving) -> void {
+auto LiveMembers::update(const MembershipView &view, bool leaving,
+                         TimePoint now) -> void {
   const Peer own{Self.Id, Self.PeerAddress};
   std::vector<Peer> participants{own};
   std::vector<Peer> homes;
@@ -31,6 +32,7 @@
     return std::any_of(homes.begin(), homes.end(),
                        [id](const Peer &p) { return p.Id == id; });
   });
+  ChangedAt = now;
   FormerHomes = std::move(Homes);
   Homes = std::move(homes);
   Cache.clear();
--- a/src/flow/live_members.h
+++ b/src/flow/live_members.h
@@ -31,7 +31,7 @@
 
   /// Takes over \p view. Suspected members count as live; this instance counts
   /// as live unless \p leaving.
-  auto update(const MembershipView &view, bool leaving) -> void;
+  auto update(const MembershipView &view, bool leaving, TimePoint now) -> void;
 
   /// All that may still forward packets, leaving ones and this one included.
   auto participants() const -> const std::vector<Peer> & {
@@ -47,6 +47,8 @@
   auto isDeputy(ServiceId service) const -> bool;
   /// The owners of slot \p slot of \p service; cached until the next update.
   auto owners(ServiceId service, std::uint32_t slot) -> SlotOwners;
+  /// When the instances that can be home changed last.
+  auto changedAt() const -> TimePoint { return ChangedAt; }
   /// The home of the slot before the last change of members.
   auto formerHome(ServiceId service, std::uint32_t slot) const -> Peer;
   /// True when \p id takes part and has not said that it handed all over.
@@ -64,6 +66,7 @@
   /// Participants that are not leaving.
   std::vector<Peer> Homes;
   std::vector<Peer> FormerHomes;
+  TimePoint ChangedAt;
   std::set<InstanceId> HandedOver;
   std::unordered_map<std::uint64_t, SlotOwners> Cache;
 };
--- a/src/flow/placement_agreement.cpp
+++ b/src/flow/placement_agreement.cpp
@@ -30,6 +30,14 @@
   return it == Placements.end() ? nullptr : &it->second;
 }
 
+auto PlacementAgreement::unsettledSince(ServiceId service) const
+    -> std::optional<TimePoint> {
+  auto it = UnsettledSince.find(service);
+  if (it == UnsettledSince.end())
+    return std::nullopt;
+  return it->second;
+}
+
 auto PlacementAgreement::noteChange(const ServicePlacement &p) -> void {
   auto &hash = Hashes[p.service()];
   auto &bucket = Buckets[raw(p.service()) % Buckets.size()];
@@ -37,6 +45,10 @@
   hash = p.stateHash();
   bucket ^= hash;
   ++Version;
+  if (p.unsettledSlots().empty())
+    UnsettledSince.erase(p.service());
+  else
+    UnsettledSince.try_emplace(p.service(), Context.Time.now());
   if (const auto *g = p.newest(); g != nullptr)
     HighestCounter = std::max(HighestCounter, g->Id.Counter);
 }
--- a/src/flow/placement_agreement.h
+++ b/src/flow/placement_agreement.h
@@ -42,6 +42,9 @@
   /// When the tables were last taken over from a peer; none after a start
   /// without peers.
   auto syncedAt() const -> std::optional<TimePoint> { return SyncedAt; }
+  /// Since when \p service has had unsettled slots without a break; none when
+  /// all are settled.
+  auto unsettledSince(ServiceId service) const -> std::optional<TimePoint>;
   /// The placement of \p service, or null.
   auto find(ServiceId service) -> ServicePlacement *;
   auto placements() const
@@ -103,6 +106,7 @@
   PeerMessenger &Messenger;
   std::unordered_map<ServiceId, ServicePlacement> Placements;
   std::unordered_map<ServiceId, std::uint64_t> Hashes;
+  std::unordered_map<ServiceId, TimePoint> UnsettledSince;
   std::vector<std::uint64_t> Buckets;
   std::uint64_t Version = 0;
 
--- a/src/flow/service_directory.cpp
+++ b/src/flow/service_directory.cpp
@@ -82,9 +82,13 @@
 auto ServiceDirectory::target(ServiceId service, UpstreamId id) const
     -> Target {
   auto it = Upstreams.find(id);
-  if (it == Upstreams.end() || it->second.Service != service)
-    return {};
-  return it->second.To;
+  if (it != Upstreams.end())
+    return it->second.Service == service ? it->second.To : Target{};
+  const auto *p = Agreement.find(service);
+  const auto isLate =
+      p != nullptr && p->newest() != nullptr &&
+      p->newest()->Id.Config > Context.Board.Configuration.read()->Number;
+  return {{}, isLate ? TargetUse::Unknown : TargetUse::Gone};
 }
 
 } // namespace boragebridge
--- a/src/flow/service_directory.h
+++ b/src/flow/service_directory.h
@@ -12,6 +12,7 @@
 /// What this instance may send to an upstream.
 enum class TargetUse : std::uint8_t {
   Gone,    ///< Removed, withdrawn or of another service: nothing.
+  Unknown, ///< Of a later revision than this instance has: others may know.
   Leaving, ///< Draining for too long for a new flow: mid-flow packets.
   Open,    ///< Everything.
 };
