--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,7 +1,9 @@
 #include "boragebridge/instance.h"
 
 #include "config/configuration_controller.h"
+#include "flow/flow_controller.h"
 #include "membership/membership_controller.h"
+#include "request/request_controller.h"
 
 namespace boragebridge {
 
@@ -10,6 +12,8 @@
   auto platform = std::make_shared<BudgetedPlatform>(ctx);
   all.push_back(makeMembershipController(ctx, platform));
   all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
+  all.push_back(makeFlowController(ctx));
+  all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
 
