--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,12 +1,21 @@
 #include "boragebridge/instance.h"
 
+#include "flow/flow_controller.h"
 #include "health/health_controller.h"
+#include "membership/membership_controller.h"
+#include "request/request_controller.h"
 
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
   ControllerList all;
-  all.push_back(makeHealthController(ctx));
+  auto platform = std::make_shared<BudgetedPlatform>(ctx);
+  all.push_back(makeMembershipController(ctx, platform));
+  auto health = makeHealthController(ctx);
+  auto *observer = health.get();
+  all.push_back(std::move(health));
+  all.push_back(makeFlowController(ctx));
+  all.push_back(makeRequestController(ctx, observer));
   return all;
 }
 
