--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -2,6 +2,7 @@
 
 #include "flow/flow_controller.h"
 #include "health/health_controller.h"
+#include "config/configuration_controller.h"
 #include "membership/membership_controller.h"
 #include "request/request_controller.h"
 
@@ -16,6 +17,9 @@
   all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, observer));
+  all.push_back(makeRequestController(ctx, nullptr));
+  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
+  all.push_back(makeHealthController(ctx));
   return all;
 }
 
