--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,5 +1,7 @@
 #include "boragebridge/instance.h"
 
+#include "flow/flow_controller.h"
+#include "health/health_controller.h"
 #include "config/configuration_controller.h"
 #include "flow/flow_controller.h"
 #include "health/health_controller.h"
@@ -18,7 +20,11 @@
   all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, observer));
+  auto health = makeHealthController(ctx);
+  auto *observer = health.get();
+  all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
+  all.push_back(makeRequestController(ctx, observer));
   all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
