--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -6,6 +6,7 @@
 namespace boragebridge::bench {
 
 auto runReport(int argc, char **argv) -> int;
+auto runSlopes(int argc, char **argv) -> int;
 auto runLoad(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -16,6 +16,7 @@
     Experiment{"load", "callers against running processes", runLoad},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
+    Experiment{"slopes", "growth of heap and processor time", runSlopes},
     Experiment{"--version", "print the version", runVersion},
 };
 
--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -20,12 +20,6 @@
   all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, observer));
-  auto health = makeHealthController(ctx);
-  auto *observer = health.get();
-  all.push_back(std::move(health));
-  all.push_back(makeFlowController(ctx));
-  all.push_back(makeRequestController(ctx, observer));
-  all.push_back(makeRequestController(ctx, nullptr));
   return all;
 }
 
