Add the administration API with roles, limits and conditional requests

Cause: many teams share one platform and drive it over HTTP and JSON. A change that surely was not written is given up after 2 s instead of 3 s, so that the operator hears it before the answer 'pending'.

--- a/src/admin/administration_api.h
+++ b/src/admin/administration_api.h
@@ -27,6 +27,8 @@
   /// Names in lower case. Used: authorization, if-match, change-id.
   std::map<std::string, std::string> Headers;
   std::string Body;
+  /// Wall clock of the machine, for the change log that people read.
+  std::chrono::system_clock::time_point ReceivedAt;
 };
 
 /// One HTTP response.
@@ -85,9 +87,12 @@
   auto operator=(const AdministrationApi &) -> AdministrationApi & = delete;
   ~AdministrationApi();
 
-  /// Ends with exactly one call of \p done, which may come from within the
-  /// call or later; never after the ConfigurationController is destroyed.
+  /// Ends with exactly one call of \p done, from within the call or from a
+  /// later tick of the instance, unless the API is destroyed first.
   auto handle(const AdminRequest &request, Done done) -> void;
+  /// Answers "pending" for changes whose fate stays open for too long. Call it
+  /// at every Instance::TickInterval.
+  auto tick() -> void;
   /// Replaces tokens and limits, so that keys rotate without a restart.
   auto updateSettings(AdminSettings settings) -> void;
 
--- a/src/config/change_writer.h
+++ b/src/config/change_writer.h
@@ -15,9 +15,11 @@
 struct ChangeWriterSettings {
   std::size_t QueueLimit = 64;
   /// After this a change that surely was not written is given up.
-  Duration GiveUpAfter = std::chrono::seconds(3);
+  Duration GiveUpAfter = std::chrono::seconds(2);
   Duration FirstRetry = std::chrono::milliseconds(20);
-  Duration MaxRetry = std::chrono::seconds(1);
+  Duration MaxRetry = std::chrono::milliseconds(200);
+  /// For a change in doubt that is older than GiveUpAfter.
+  Duration MaxLateRetry = std::chrono::seconds(2);
   /// Replaced shards stay this long for instances that still read them.
   Duration RemoveShardsAfter = std::chrono::seconds(60);
 };
