--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -19,6 +19,7 @@
     Experiment{"cost", "cost of a decision and of a generation", runCost},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
+    Experiment{"slopes", "growth of heap and processor time", runSlopes},
     Experiment{"--version", "print the version", runVersion},
 };
 
