Add the HTTP client of the platform's store and the control experiments

Cause: the daemon has to reach the store; acceptance, spreading and the cost of membership have to be measured. Change: HttpPlatform (Beast, JSON, optional TLS; an answer that was lost after sending leaves the fate open), boragebench sources for config and membership, suspects kept in a list instead of a walk of all members each tick.

--- /dev/null
+++ b/bench/config.cpp
@@ -0,0 +1,305 @@
+#include "control_experiments.h"
+#include "fakes/control_fleet.h"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace boragebridge::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::vector<std::string> DataCentres{"palermo", "catania", "siracusa",
+                                           "trapani"};
+constexpr std::size_t Hosts = 20;
+constexpr Duration FaultBegin = 30s;
+constexpr Duration FaultEnd = 90s;
+constexpr Duration LoadEnd = 120s;
+constexpr Duration SettleTime = 40s;
+constexpr Duration ForceTarget = 3s;
+constexpr Duration ReplacePeriod = 5s;
+constexpr Duration ChangePeriod = 2s;
+
+auto secondsOf(Duration d) -> double {
+  return std::chrono::duration<double>(d).count();
+}
+
+/// Drives one scenario and watches what must hold.
+class ConfigRun {
+public:
+  ConfigRun(std::string scenario, std::uint64_t seed, std::size_t n)
+      : Scenario(std::move(scenario)), Instances(n), Random(seed),
+        Fleet(seed) {
+    Fleet.addInstances("e", n, DataCentres);
+    Fleet.It.run(3s);
+    submit("e0", fakes::makeImport("sheet", fakes::makeSheet(Hosts, DataCentres)));
+    step(3s);
+    Begin = Fleet.It.Time.now();
+    CallsBefore = Fleet.Store.calls();
+    BytesBefore = bytes();
+  }
+
+  auto run() -> int {
+    while (elapsed() < LoadEnd) {
+      applyFaults();
+      submitRound();
+      step(Random.jitter(ChangePeriod));
+    }
+    Fleet.Faults.LoseAnswerShare = 0;
+    Fleet.Faults.RefuseShare = 0;
+    step(SettleTime);
+    return report();
+  }
+
+private:
+  struct Change {
+    std::string Id;
+    std::shared_ptr<const ChangeOutcome> Outcome;
+    DataCentreId At{};
+    TimePoint AcceptedAt;
+    bool Seen = false;
+    bool InForce = false;
+  };
+
+  auto elapsed() const -> Duration { return Fleet.It.Time.now() - Begin; }
+  auto nameOf(std::size_t k) const -> std::string {
+    return "e" + std::to_string(k);
+  }
+
+  auto isFaulty() const -> bool {
+    return elapsed() >= FaultBegin && elapsed() < FaultEnd;
+  }
+
+  auto applyFaults() -> void {
+    if (Scenario == "outage" || Scenario == "replace-all")
+      Fleet.Faults.Down = isFaulty();
+    if (Scenario == "lost-answers") {
+      Fleet.Faults.LoseAnswerShare = 0.3;
+      Fleet.Faults.RefuseShare = 0.1;
+    }
+    if (Scenario == "partition")
+      cutFirstDataCentre(isFaulty());
+    if (Scenario == "replace-all" && isFaulty() &&
+        elapsed() - FaultBegin >=
+            ReplacePeriod * static_cast<std::int64_t>(Replaced))
+      replaceNext();
+  }
+
+  auto cutFirstDataCentre(bool cut) -> void {
+    const auto first = idFromName<DataCentreId>(DataCentres.front());
+    for (const auto &it : DataCentres)
+      if (it != DataCentres.front())
+        Fleet.It.Network.setCut(first, idFromName<DataCentreId>(it), cut);
+    if (cut)
+      Fleet.Faults.CutOff.insert(first);
+    else
+      Fleet.Faults.CutOff.clear();
+  }
+
+  auto replaceNext() -> void {
+    const auto k = Replaced++ % Instances;
+    Fleet.It.kill(nameOf(k));
+    Fleet.It.addInstance(nameOf(k), DataCentres[k % DataCentres.size()]);
+  }
+
+  auto submit(const std::string &at, ChangeRequest request) -> void {
+    Change c;
+    c.Id = request.Id;
+    c.At = Fleet.It.instance(at).identity().DataCentre;
+    c.Outcome = Fleet.submit(at, std::move(request));
+    Changes.push_back(std::move(c));
+  }
+
+  auto submitRound() -> void {
+    const auto n = Scenario == "race" ? std::size_t{3} : std::size_t{1};
+    for (std::size_t k = 0; k < n; ++k) {
+      static constexpr std::array Kinds{OperationKind::Drain,
+                                        OperationKind::Activate};
+      const auto host = Random.below(Scenario == "race" ? 3 : Hosts);
+      submit(nameOf(Random.below(Instances)),
+             fakes::makeChange("c" + std::to_string(Changes.size()),
+                               {{Kinds[Random.below(Kinds.size())],
+                                 "upstream/host-" + std::to_string(host), ""}}));
+    }
+  }
+
+  auto step(Duration d) -> void {
+    const auto end = Fleet.It.Time.now() + d;
+    while (Fleet.It.Time.now() < end) {
+      Fleet.It.run(Instance::TickInterval);
+      watchRevisions();
+      watchChanges();
+    }
+  }
+
+  /// A name that serves never serves an older revision than before, across
+  /// replacements too.
+  auto watchRevisions() -> void {
+    for (auto *it : Fleet.It.running()) {
+      if (!it->board().Readiness.read()->MayServe)
+        continue;
+      const auto n = it->board().Configuration.read()->Number;
+      auto &highest = Highest[it->identity().Name];
+      if (n < highest)
+        ++Reverted;
+      highest = std::max(highest, n);
+    }
+  }
+
+  auto watchChanges() -> void {
+    for (auto &c : Changes) {
+      if (c.InForce || c.Outcome->State != ChangeState::Accepted)
+        continue;
+      if (!c.Seen) {
+        c.Seen = true;
+        c.AcceptedAt = Fleet.It.Time.now();
+      }
+      if (!isInForce(c))
+        continue;
+      c.InForce = true;
+      ToForce.push_back(secondsOf(Fleet.It.Time.now() - c.AcceptedAt));
+    }
+  }
+
+  /// At every instance that serves and is not cut off from the accepting one.
+  auto isInForce(const Change &c) -> bool {
+    const auto first = idFromName<DataCentreId>(DataCentres.front());
+    const auto cut = !Fleet.Faults.CutOff.empty();
+    const auto all = Fleet.It.running();
+    return std::all_of(all.begin(), all.end(), [&](auto *it) {
+      const auto there = it->identity().DataCentre;
+      const auto reachable = !cut || (there == first) == (c.At == first);
+      return !reachable || !it->board().Readiness.read()->MayServe ||
+             it->board().Configuration.read()->Number >= c.Outcome->Number;
+    });
+  }
+
+  auto bytes() -> std::uint64_t {
+    std::uint64_t n = 0;
+    for (std::size_t k = 0; k < Instances; ++k)
+      n += Fleet.It.Network.bytesSent(
+          Fleet.It.instance(nameOf(k)).identity().PeerAddress);
+    return n;
+  }
+
+  /// Accepted changes that the store does not show under their revision, or
+  /// that some instance does not hold in the end.
+  auto countLost() -> std::size_t {
+    Head head;
+    if (!decodeHead(Fleet.Store.peek(std::string(HeadKey))->Value, head))
+      return Changes.size();
+    std::size_t lost = 0;
+    for (const auto &c : Changes) {
+      if (c.Outcome->State != ChangeState::Accepted)
+        continue;
+      const auto *record = head.findChange(c.Id);
+      if (record == nullptr || record->Number != c.Outcome->Number ||
+          Fleet.lowestRevision() < c.Outcome->Number)
+        ++lost;
+    }
+    return lost;
+  }
+
+  auto countState(ChangeState s) const -> std::size_t {
+    return static_cast<std::size_t>(
+        std::count_if(Changes.begin(), Changes.end(),
+                      [s](const auto &c) { return c.Outcome->State == s; }));
+  }
+
+  auto quantile(double q) const -> double {
+    if (ToForce.empty())
+      return 0;
+    const auto n = static_cast<double>(ToForce.size() - 1);
+    return ToForce[static_cast<std::size_t>(q * n + 0.5)];
+  }
+
+  auto report() -> int {
+    std::sort(ToForce.begin(), ToForce.end());
+    const auto seconds = secondsOf(elapsed());
+    const auto &now = Fleet.Store.calls();
+    const auto rate = [seconds](std::uint64_t a, std::uint64_t b) {
+      return static_cast<double>(a - b) / seconds;
+    };
+    const auto lost = countLost();
+    const auto accepted = countState(ChangeState::Accepted);
+    std::cout
+        << boost::json::serialize(boost::json::object{
+               {"experiment", "config"},
+               {"scenario", Scenario},
+               {"instances", Instances},
+               {"submitted", Changes.size()},
+               {"accepted", accepted},
+               {"conflicts", countState(ChangeState::Conflict)},
+               {"unreachable", countState(ChangeState::Unreachable)},
+               {"pending", countState(ChangeState::Pending)},
+               {"not_in_force", accepted - ToForce.size()},
+               {"reverted", Reverted},
+               {"lost_accepted", lost},
+               {"seconds_to_force_p50", quantile(0.5)},
+               {"seconds_to_force_p99", quantile(0.99)},
+               {"seconds_to_force_max", quantile(1)},
+               {"store_calls_per_second",
+                {{"get", rate(now.Gets, CallsBefore.Gets)},
+                 {"list", rate(now.Lists, CallsBefore.Lists)},
+                 {"put", rate(now.Puts, CallsBefore.Puts)},
+                 {"remove", rate(now.Removes, CallsBefore.Removes)},
+                 {"watch", rate(now.Watches, CallsBefore.Watches)}}},
+               {"control_bytes_per_instance_second",
+                static_cast<double>(bytes() - BytesBefore) / seconds /
+                    static_cast<double>(Instances)}})
+        << "\n";
+    const auto met = Reverted == 0 && lost == 0 && accepted == ToForce.size() &&
+                     quantile(1) <= secondsOf(ForceTarget);
+    return met ? 0 : 1;
+  }
+
+  std::string Scenario;
+  std::size_t Instances;
+  SeededRandom Random;
+  fakes::ControlFleet Fleet;
+  TimePoint Begin;
+  fakes::ObjectStoreCalls CallsBefore;
+  std::uint64_t BytesBefore = 0;
+  std::vector<Change> Changes;
+  std::map<std::string, Revision> Highest;
+  std::vector<double> ToForce;
+  std::size_t Replaced = 0;
+  std::uint64_t Reverted = 0;
+};
+
+} // namespace
+
+auto runConfig(int argc, char **argv) -> int {
+  constexpr int UsageError = 2;
+  cxxopts::Options opt("boragebench config",
+                       "Acceptance and spreading of changes under faults");
+  opt.add_options()("seed", "seed",
+                    cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "scenario",
+      "normal, outage, lost-answers, partition, replace-all or race",
+      cxxopts::value<std::string>()->default_value("normal"))(
+      "instances", "size of the fleet",
+      cxxopts::value<std::size_t>()->default_value("8"))("help", "help");
+  const auto args = opt.parse(argc, argv);
+  if (args.count("help") != 0) {
+    std::cout << opt.help();
+    return 0;
+  }
+  static constexpr std::array<std::string_view, 6> Scenarios{
+      "normal", "outage", "lost-answers", "partition", "replace-all", "race"};
+  const auto scenario = args["scenario"].as<std::string>();
+  if (std::find(Scenarios.begin(), Scenarios.end(), scenario) ==
+      Scenarios.end()) {
+    std::cerr << "no scenario '" << scenario << "'\n";
+    return UsageError;
+  }
+  return ConfigRun(scenario, args["seed"].as<std::uint64_t>(),
+                   args["instances"].as<std::size_t>())
+      .run();
+}
+
+} // namespace boragebridge::bench
--- a/src/membership/membership_controller.cpp
+++ b/src/membership/membership_controller.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <unordered_set>
 
 namespace boragebridge {
 
@@ -169,10 +170,15 @@
 
 auto MembershipController::expireSuspects(TimePoint now) -> void {
   std::vector<InstanceId> expired;
-  for (const auto &[id, it] : Table.entries())
-    if (it.News.About.State == MemberState::Suspect &&
-        now >= it.Since + Settings.SuspicionTime)
-      expired.push_back(id);
+  std::erase_if(Suspects, [&](auto id) {
+    const auto *it = Table.find(id);
+    if (it == nullptr || it->News.About.State != MemberState::Suspect)
+      return true;
+    if (now < it->Since + Settings.SuspicionTime)
+      return false;
+    expired.push_back(id);
+    return true;
+  });
   for (auto id : expired) {
     Deaths.add();
     declare(id, MemberState::Dead);
@@ -184,12 +190,14 @@
     return;
   NextReconnect = now + Ctx.Random.jitter(Settings.ReconnectPeriod);
   std::vector<Endpoint> candidates;
-  std::vector<Endpoint> live;
+  std::unordered_set<Endpoint> live;
   for (const auto &[id, it] : Table.entries())
-    (isLive(it.News.About.State) ? live : candidates)
-        .push_back(it.News.About.PeerAddress);
+    if (isLive(it.News.About.State))
+      live.insert(it.News.About.PeerAddress);
+    else
+      candidates.push_back(it.News.About.PeerAddress);
   for (const auto &it : Ctx.Self.Seeds)
-    if (std::find(live.begin(), live.end(), it) == live.end())
+    if (!live.contains(it))
       candidates.push_back(it);
   if (candidates.empty())
     return;
@@ -256,6 +264,8 @@
 
 auto MembershipController::noteChange(const MemberUpdate &u) -> void {
   Changed = true;
+  if (u.About.State == MemberState::Suspect)
+    Suspects.push_back(u.About.Id);
   Fresh.push_back(u);
   std::erase_if(Rumours, [&](const Rumour &it) {
     return it.News.About.Id == u.About.Id;
--- a/src/membership/membership_controller.h
+++ b/src/membership/membership_controller.h
@@ -131,6 +131,8 @@
   std::deque<Rumour> Rumours;
   std::vector<MemberUpdate> Fresh;
   std::vector<InstanceId> ProbeOrder;
+  /// Members that were suspected and may still be.
+  std::vector<InstanceId> Suspects;
   std::deque<RelayedProbe> Relayed;
   std::vector<Endpoint> ListedPeers;
   Probe Current;
--- /dev/null
+++ b/test/platform/http_platform_test.cpp
@@ -0,0 +1,150 @@
+#include "platform/http_platform.h"
+
+// GCC reports it in code that it makes for coroutines and in Beast's templates.
+#pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+namespace boragebridge {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// What the server does with a request that it has read.
+enum class Behaviour { Answer, Close, Silence };
+
+/// A server on loopback that gives every request the same answer.
+struct HttpPlatformFixture {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Acceptor{Io, {asio::ip::address_v4::loopback(), 0}};
+  asio::ip::tcp::socket Peer{Io};
+  beast::flat_buffer Buffer;
+  http::request<http::string_body> Seen;
+  http::response<http::string_body> Answer;
+  std::optional<HttpPlatform> Client;
+
+  HttpPlatformFixture() {
+    HttpPlatformSettings settings;
+    settings.Address = {0x7F000001, Acceptor.local_endpoint().port()};
+    settings.Timeout = std::chrono::milliseconds(300);
+    Client.emplace(Io, settings);
+  }
+
+  auto serve(Behaviour how, unsigned status = 200,
+             const std::string &body = "{}") -> void {
+    Answer.result(status);
+    Answer.body() = body;
+    Answer.prepare_payload();
+    Acceptor.async_accept(Peer, [this, how](auto) {
+      http::async_read(Peer, Buffer, Seen, [this, how](auto, auto) {
+        if (how == Behaviour::Close)
+          Peer.close();
+        if (how == Behaviour::Answer)
+          http::async_write(Peer, Answer, [](auto, auto) {});
+      });
+    });
+  }
+
+  auto get() -> absl::StatusOr<StoredObject> {
+    absl::StatusOr<StoredObject> result = absl::UnknownError("no callback");
+    Client->get("config/a b", [&](auto r) { result = std::move(r); });
+    Io.run();
+    return result;
+  }
+
+  auto put() -> absl::StatusOr<ObjectVersion> {
+    absl::StatusOr<ObjectVersion> result = absl::UnknownError("no callback");
+    Client->put("k", "v\"1", 7, [&](auto r) { result = std::move(r); });
+    Io.run();
+    return result;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpPlatformClient, HttpPlatformFixture)
+
+BOOST_AUTO_TEST_CASE(ObjectIsRead) {
+  serve(Behaviour::Answer, 200,
+        R"({"key":"config/a b","value":"text","version":9})");
+  const auto r = get();
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST(r->Value == "text");
+  BOOST_TEST(r->Version == 9U);
+  BOOST_TEST(std::string(Seen.target()) == "/v1/objects/config/a%20b");
+}
+
+BOOST_AUTO_TEST_CASE(WriteCarriesValueAndExpectedVersion) {
+  serve(Behaviour::Answer, 200, R"({"version":8})");
+  const auto r = put();
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST(*r == 8U);
+  BOOST_TEST(std::string(Seen.target()) == "/v1/objects/k?expected=7");
+  BOOST_TEST(Seen.body() == R"({"value":"v\"1"})");
+}
+
+BOOST_AUTO_TEST_CASE(WatchReportsRemovals) {
+  serve(Behaviour::Answer, 200,
+        R"({"current_version":12,"objects":[
+            {"key":"k","version":12,"removed":true}]})");
+  absl::StatusOr<ObjectList> result = absl::UnknownError("no callback");
+  Client->watch("config/", 11, std::chrono::seconds(2),
+                [&](auto r) { result = std::move(r); });
+  Io.run();
+  BOOST_TEST_REQUIRE(result.ok());
+  BOOST_TEST(result->CurrentVersion == 12U);
+  BOOST_TEST(result->Events.front().Removed);
+  BOOST_TEST(std::string(Seen.target()) ==
+             "/v1/watch?prefix=config%2F&after=11&wait_ms=2000");
+}
+
+BOOST_AUTO_TEST_CASE(ConflictIsAborted) {
+  serve(Behaviour::Answer, 409, R"({"version":8})");
+  BOOST_TEST(absl::IsAborted(put().status()));
+}
+
+BOOST_AUTO_TEST_CASE(MissingObjectIsNotFound) {
+  serve(Behaviour::Answer, 404);
+  BOOST_TEST(absl::IsNotFound(get().status()));
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionMeansNothingWasWritten) {
+  Acceptor.close();
+  BOOST_TEST(absl::IsUnavailable(put().status()));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionLostAfterTheRequestLeavesTheFateOpen) {
+  serve(Behaviour::Close);
+  BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
+}
+
+BOOST_AUTO_TEST_CASE(SilentServerIsGivenUp) {
+  serve(Behaviour::Silence);
+  BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableAnswerLeavesTheFateOpen) {
+  serve(Behaviour::Answer, 200, "<html>");
+  BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
+}
+
+BOOST_AUTO_TEST_CASE(DestroyedClientCallsNobody) {
+  serve(Behaviour::Answer, 200, R"({"version":8})");
+  auto called = false;
+  Client->put("k", "v", 0, [&](auto) { called = true; });
+  Client.reset();
+  Io.run();
+  BOOST_TEST(!called);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
