--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,8 +13,13 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"load", "callers against running processes", runLoad},
+    Experiment{"flows", "flows that break through changes and faults",
+               runFlows},
+    Experiment{"cost", "cost of a decision and of a generation", runCost},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
+    Experiment{"slopes", "growth of heap and processor time", runSlopes},
     Experiment{"--version", "print the version", runVersion},
 };
 
