--- a/tools/boragebridged.cpp
+++ b/tools/boragebridged.cpp
@@ -4,7 +4,9 @@
 /// One address serves peers (TCP) and packets (UDP). HTTP: the administration
 /// API under /v1, `/metrics`, `/state`, and `/ready` (200 while it takes new
 /// packets). SIGTERM begins a planned stop.
+#include "admin/administration_api.h"
 #include "boragebridge/instance.h"
+#include "config/configuration_controller.h"
 #include "logging/process_events.h"
 #include "logging/process_log.h"
 #include "net/http_platform_client.h"
@@ -27,6 +29,7 @@
   Endpoint Http;
   Endpoint Platform;
   Duration StopLimit{};
+  AdminSettings Admin;
   LogSettings Log;
 };
 
@@ -66,6 +69,12 @@
     It = std::make_unique<Instance>(
         Options.Self,
         Environment{Time, Random, *Packets, *Peers, Platform, Log});
+    auto *config = dynamic_cast<ConfigurationController *>(
+        It->findController("configuration"));
+    if (config == nullptr)
+      return absl::InternalError("no configuration controller");
+    Admin = std::make_unique<AdministrationApi>(
+        Time, It->metrics(), Log, It->board(), *config, Options.Admin);
     Peers->start([this](const auto &f) { return It->onPeerFrame(f); });
     Socket->start([this](const auto &from, const auto &p) {
       It->onPacket(Packets->originOf(from), from, p);
@@ -109,7 +118,12 @@
       return respond(
           {200, "text/plain; version=0.0.4", It->metrics().renderText(), {}});
     }
-    respond({404, "text/plain", "no such path\n", {}});
+    Admin->handle({r.Method, r.Target, r.Headers, r.Body,
+                   std::chrono::system_clock::now()},
+                  [respond](AdminResponse out) {
+                    respond({out.Status, std::move(out.ContentType),
+                             std::move(out.Body), std::move(out.Headers)});
+                  });
   }
 
   auto isReady() -> bool {
@@ -150,6 +164,7 @@
   std::unique_ptr<InstancePackets> Packets;
   std::unique_ptr<TcpPeerLink> Peers;
   std::unique_ptr<Instance> It;
+  std::unique_ptr<AdministrationApi> Admin;
   std::unique_ptr<HttpServer> Server;
   asio::steady_timer Timer;
   StopSignal Stop;
@@ -157,6 +172,33 @@
   TimePoint StopBegan;
 };
 
+auto readToken(SettingsReader in) -> AdminToken {
+  constexpr std::size_t Sha256Digits = 64;
+  AdminToken out;
+  out.Sha256 = in.text("sha256");
+  if (out.Sha256.size() != Sha256Digits ||
+      out.Sha256.find_first_not_of("0123456789abcdef") != std::string::npos)
+    in.reject("sha256", "takes 64 lower-case hexadecimal digits");
+  out.Actor = in.text("actor");
+  const auto role = in.choice("role", {"reader", "team", "platform"});
+  if (role == "platform")
+    out.Role = AdminRole::Platform;
+  if (role == "team") {
+    out.Role = AdminRole::Team;
+    out.Team = in.text("team");
+  }
+  return out;
+}
+
+auto readAdmin(SettingsReader in) -> AdminSettings {
+  AdminSettings out;
+  for (auto &it : in.sections("tokens"))
+    out.Tokens.push_back(readToken(it));
+  out.Limits.ChangesPerMinute =
+      in.real("changes_per_minute", {1, 100000}, out.Limits.ChangesPerMinute);
+  return out;
+}
+
 auto readSettings(const std::string &path) -> absl::StatusOr<Settings> {
   auto root = SettingsReader::fromFile(path);
   if (!root.ok())
@@ -172,6 +214,7 @@
   s.Http = root->endpoint("http");
   s.Platform = root->endpoint("platform");
   s.StopLimit = root->duration("stop_limit", {1s, 1h}, 30s);
+  s.Admin = readAdmin(root->section("admin"));
   s.Log = LogSettings::read(root->section("log"));
   if (auto status = root->finish(); !status.ok())
     return status;
--- a/tools/boragectl.cpp
+++ b/tools/boragectl.cpp
@@ -166,10 +166,15 @@
 auto isInForce(const HttpResponse &r) -> bool {
   boost::system::error_code ec;
   auto v = json::parse(r.Body, ec);
-  if (ec || r.Status != StatusOk || !v.is_object())
+  if (ec || r.Status != StatusOk)
     return false;
-  const auto *it = v.as_object().if_contains("in_force");
-  return it != nullptr && it->is_bool() && it->as_bool();
+  const auto *instances =
+      v.is_object() ? v.as_object().if_contains("instances") : nullptr;
+  if (instances == nullptr || !instances->is_object())
+    return false;
+  const auto *live = instances->as_object().if_contains("live");
+  const auto *holding = instances->as_object().if_contains("holding");
+  return live != nullptr && holding != nullptr && *live == *holding;
 }
 
 /// Asks for the change until it is in force everywhere or the wait is over.
