--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -245,6 +245,8 @@
                             "/withdrawn?data_centre=N&on=1, /finish",
                             value<std::string>())(
       "flows", "flows at once", value<std::size_t>()->default_value("400"))(
+      "open-rate", "new flows a second at most",
+      value<double>()->default_value("40"))(
       "rate", "requests a second", value<double>()->default_value("200"))(
       "work-ms", "time an ordinary host takes for a request",
       value<int>()->default_value("20"))("seconds", "length of the run",
@@ -263,6 +265,7 @@
   s.Requests.Fabrics = s.Flows.Fabrics;
   s.Requests.Services = s.Flows.Services;
   s.Flows.Flows = args["flows"].as<std::size_t>();
+  s.Flows.OpensPerSecond = args["open-rate"].as<double>();
   s.Requests.PerSecond = args["rate"].as<double>();
   s.Requests.Work = std::chrono::milliseconds(args["work-ms"].as<int>());
   s.Upstreams = parseAddress(args["upstreams"].as<std::string>());
--- a/bench/load_checks.cpp
+++ b/bench/load_checks.cpp
@@ -120,6 +120,17 @@
   out.push_back(answered);
 }
 
+/// Phases in which requests were sent and none was answered.
+static auto checkAnswered(const std::vector<Phase> &phases) -> PromiseCheck {
+  constexpr auto ShortPhase = std::chrono::seconds(5);
+  PromiseCheck out{"requests are answered in every phase", 0};
+  for (const auto &it : phases)
+    if (it.Length >= ShortPhase && it.Requests.Submitted > 0 &&
+        it.Requests.Outcomes[0] == 0)
+      ++out.Breaches;
+  return out;
+}
+
 auto checkPromises(const std::string &state, const std::string &ran,
                    const OutcomeTable &ended, const std::vector<Phase> &phases)
     -> std::vector<PromiseCheck> {
@@ -130,7 +141,7 @@
     broken.Breaches += it.Flows.broken();
     wrong.Breaches += it.Requests.WrongAnswers;
   }
-  std::vector<PromiseCheck> out{broken, wrong};
+  std::vector<PromiseCheck> out{broken, wrong, checkAnswered(phases)};
   const auto root = parseObject(state);
   for (const auto &it : CountedPromises) {
     PromiseCheck c{std::string(it.Promise), 0};
--- a/bench/load_flows.cpp
+++ b/bench/load_flows.cpp
@@ -7,13 +7,11 @@
 /// Callers' addresses are 10.64.0.0 and up, one for each flow ever opened.
 static constexpr std::uint32_t FirstCaller = 0x0A400000;
 static constexpr std::uint16_t CallerPort = 40000;
-/// Flows opened in one tick at most, so that the start is no burst.
-static constexpr std::size_t OpensPerTick = 4;
 
 FlowLoad::FlowLoad(FlowLoadOptions opt, const Clock &time, RandomSource &random,
                    Send send)
     : Options(std::move(opt)), Time(time), Random(random),
-      SendPacket(std::move(send)) {}
+      SendPacket(std::move(send)), NextOpen(time.now()) {}
 
 auto FlowLoad::open(FlowMeasures &m) -> void {
   const auto now = Time.now();
@@ -73,8 +71,12 @@
 
 auto FlowLoad::tick(FlowMeasures &m) -> void {
   const auto now = Time.now();
-  for (std::size_t n = 0; n < OpensPerTick && Flows.size() < Options.Flows; ++n)
+  if (now >= NextOpen && Flows.size() < Options.Flows) {
     open(m);
+    NextOpen =
+        now + Random.jitter(std::chrono::duration_cast<Duration>(
+                  std::chrono::duration<double>(1 / Options.OpensPerSecond)));
+  }
   for (auto it = Flows.begin(); it != Flows.end();)
     it = step(it->second, now, m) ? std::next(it) : Flows.erase(it);
 }
--- a/bench/load_flows.h
+++ b/bench/load_flows.h
@@ -25,6 +25,8 @@
 /// How many flows, and where they go.
 struct FlowLoadOptions {
   std::size_t Flows = 400;
+  /// New flows a second at most.
+  double OpensPerSecond = 40;
   /// Time between two packets of a flow.
   Duration Interval = std::chrono::milliseconds(250);
   /// A flow that hears nothing for this long is broken.
@@ -80,6 +82,7 @@
   std::unordered_map<Endpoint, Flow> Flows;
   std::set<std::string> Withdrawn;
   std::uint32_t NextCaller = 0;
+  TimePoint NextOpen;
 };
 
 } // namespace boragebridge::bench
