Let packets of flows warm an upstream up, and wire the observer

A service with flows alone never had an answer with a latency, so that its upstreams stayed cold for ever. A packet that an upstream sends back on a flow now counts as an answer without a latency.

--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,8 +1,8 @@
 #include "boragebridge/instance.h"
 
+#include "config/configuration_controller.h"
 #include "flow/flow_controller.h"
 #include "health/health_controller.h"
-#include "config/configuration_controller.h"
 #include "membership/membership_controller.h"
 #include "request/request_controller.h"
 
@@ -12,14 +12,12 @@
   ControllerList all;
   auto platform = std::make_shared<BudgetedPlatform>(ctx);
   all.push_back(makeMembershipController(ctx, platform));
+  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
   auto health = makeHealthController(ctx);
   auto *observer = health.get();
   all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, observer));
-  all.push_back(makeRequestController(ctx, nullptr));
-  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
-  all.push_back(makeHealthController(ctx));
   return all;
 }
 
--- a/src/fakes/upstream_model.cpp
+++ b/src/fakes/upstream_model.cpp
@@ -143,6 +143,7 @@
 
 auto UpstreamModel::report(TimePoint now) -> std::optional<UpstreamReport> {
   advance(now);
+  notePacket(now, false);
   if (!Alive || Silent || Reports.Missing)
     return std::nullopt;
   auto it = std::find_if(
--- a/src/fakes/upstream_model.h
+++ b/src/fakes/upstream_model.h
@@ -143,7 +143,7 @@
       -> FlowAnswer;
   /// The results that are due.
   auto poll(TimePoint now) -> std::vector<ExecuteResult>;
-  /// The state report; empty when it goes missing.
+  /// The answer to a probe; empty when it goes missing.
   auto report(TimePoint now) -> std::optional<UpstreamReport>;
 
   /// Becomes cold with no notice; what runs goes on.
--- a/src/health/assessment.cpp
+++ b/src/health/assessment.cpp
@@ -123,7 +123,8 @@
   SilentTimeouts = 0;
   if (Current.Fitness == UpstreamFitness::Unfit)
     turnCold(now);
-  if (Current.Fitness == UpstreamFitness::Ready)
+  const auto hasLatency = s.Latency.count() > 0;
+  if (Current.Fitness == UpstreamFitness::Ready && hasLatency)
     learnLatency(s, now);
   if (Current.Fitness != UpstreamFitness::Ready || Ramp < FullRamp)
     raiseRamp(s.Count, now);
--- a/src/health/assessment.h
+++ b/src/health/assessment.h
@@ -33,7 +33,8 @@
 
 /// One kind of evidence. The values are part of the peer protocol.
 enum class Sign : std::uint8_t {
-  Answers = 1,        ///< Count answers of mean latency Latency.
+  /// Count answers of mean latency Latency; zero: packets of flows.
+  Answers = 1,
   ColdRefusals = 2,   ///< Refused as cold.
   Unavailable = 3,    ///< Refused by a host that fell over or drains.
   Shed = 4,           ///< Refused to take less load.
--- a/src/health/health_controller.cpp
+++ b/src/health/health_controller.cpp
@@ -125,7 +125,11 @@
 
 auto HealthController::onPacket(PacketOrigin from, const Endpoint &peer,
                                 const Packet &p) -> bool {
-  if (from != PacketOrigin::Upstream || p.Kind != PacketKind::Report)
+  if (from != PacketOrigin::Upstream)
+    return false;
+  if (p.Kind == PacketKind::FlowData)
+    noteFlowAnswer(peer);
+  if (p.Kind != PacketKind::Report)
     return false;
   const auto report = decodeReport(p.Payload);
   const auto *e = Registry.findByAddress(peer);
@@ -137,6 +141,15 @@
   return true;
 }
 
+auto HealthController::noteFlowAnswer(const Endpoint &upstream) -> void {
+  auto *e = Registry.findByAddress(upstream);
+  if (e == nullptr)
+    return;
+  e->Seen.HasFlowAnswer = true;
+  e->Seen.Timeouts = 0;
+  list(*e);
+}
+
 auto HealthController::onReport(UpstreamId id, const UpstreamReport &r)
     -> void {
   auto *e = Registry.find(id);
@@ -254,7 +267,8 @@
     all.push_back(
         {Sign::Answers, count(seen.Answers),
          std::chrono::duration_cast<std::chrono::microseconds>(mean)});
-  }
+  } else if (seen.HasFlowAnswer)
+    all.push_back({Sign::Answers, 1, {}});
   if (seen.Timeouts > 0)
     all.push_back({Sign::Timeouts, count(seen.Timeouts), {}});
   if (seen.Sheds > 0)
--- a/src/health/health_controller.h
+++ b/src/health/health_controller.h
@@ -76,6 +76,9 @@
   auto sendToPeers(const std::vector<NamedOpinion> &all, std::size_t fanOut)
       -> void;
   auto list(UpstreamEntry &e) -> void;
+  /// A packet of a flow came back from the upstream at \p upstream: it is
+  /// alive and serves.
+  auto noteFlowAnswer(const Endpoint &upstream) -> void;
   auto takeEvidence(UpstreamEntry &e) -> std::vector<Sighting>;
   auto isOwner(UpstreamId id) const -> bool;
   auto collect(const std::vector<UpstreamId> &ids) -> std::vector<NamedOpinion>;
--- a/src/health/upstream_registry.h
+++ b/src/health/upstream_registry.h
@@ -16,6 +16,8 @@
   Duration LatencySum{};
   std::uint32_t Timeouts = 0;
   std::uint32_t Sheds = 0;
+  /// Packets of flows came back; without a latency.
+  bool HasFlowAnswer = false;
   bool IsListed = false;
 };
 
--- a/test/health/health_controller_test.cpp
+++ b/test/health/health_controller_test.cpp
@@ -186,6 +186,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(FlowsAloneWarmAnUpstreamUp) {
+  Fleet.addUpstreams(1, false);
+  const auto &address = Fleet.Config.Upstreams[0].Address;
+  for (auto i = 0; i < 100; ++i) {
+    Fleet.run(100ms, 0);
+    Fleet.It.fromUpstream("i2", address, {PacketKind::FlowData, {}, {}});
+  }
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Cold) == 0);
+  Fleet.run(20s, 0);
+  BOOST_TEST(Fleet.countFitness(0, UpstreamFitness::Unfit) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedFramesAndReportsAreRefused) {
   Fleet.addUpstreams(1, false);
   auto &it = Fleet.It.instance("i0");
