--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -5,6 +5,8 @@
 
 namespace boragebridge::bench {
 
+auto runChaos(int argc, char **argv) -> int;
+auto runImbalance(int argc, char **argv) -> int;
 auto runReport(int argc, char **argv) -> int;
 auto runLoad(int argc, char **argv) -> int;
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -14,6 +14,8 @@
 
 static constexpr std::array Experiments{
     Experiment{"load", "callers against running processes", runLoad},
+    Experiment{"chaos", "random failures, all promises checked", runChaos},
+    Experiment{"imbalance", "use of upstreams of unequal speed", runImbalance},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
     Experiment{"--version", "print the version", runVersion},
--- a/src/fakes/request_world.cpp
+++ b/src/fakes/request_world.cpp
@@ -60,6 +60,7 @@
   };
   std::map<std::uint64_t, Origin> Routes;
   std::uint64_t NextRoute = 1;
+  std::size_t Number = 0;
 };
 
 struct RequestWorld::CallerNode final : CallerSink {
@@ -95,10 +96,8 @@
 
 RequestWorld::RequestWorld(RequestWorldOptions opt)
     : Options(std::move(opt)), Random(Options.Seed),
-      Nodes({Options.Seed,
-             Options.Make ? Options.Make : makeRequestControllers,
-             {},
-             Options.Log}) {
+      Nodes({Options.Seed, Options.Make ? Options.Make : makeRequestControllers,
+             makePlatformFactory(), Options.Log}) {
   Nodes.OnCallerPacket = [this](Instance &, const Packet &p) { toCaller(p); };
   Nodes.OnUpstreamPacket = [this](Instance &from, const Endpoint &to,
                                   const Packet &p) { toUpstream(from, to, p); };
@@ -126,6 +125,14 @@
 
 RequestWorld::~RequestWorld() = default;
 
+auto RequestWorld::makePlatformFactory() -> PlatformFactory {
+  if (!Options.MakePlatform)
+    return {};
+  return [this](const InstanceIdentity &self) {
+    return Options.MakePlatform(Nodes, self);
+  };
+}
+
 auto RequestWorld::addHost(const std::string &dc, ServiceId s, std::size_t n)
     -> void {
   const auto *service = Config.findService(s);
@@ -145,13 +152,20 @@
   u.DataCentre = idFromName<DataCentreId>(dc);
   u.Address = address;
   Config.Upstreams.push_back(u);
-  Hosts.push_back(std::make_unique<Host>(
-      Host{UpstreamModel(opt, Nodes.Time.now()), id, address, dc, {}, 1}));
+  Hosts.push_back(
+      std::make_unique<Host>(Host{UpstreamModel(opt, Nodes.Time.now()),
+                                  id,
+                                  address,
+                                  dc,
+                                  {},
+                                  1,
+                                  Hosts.size()}));
 }
 
 auto RequestWorld::addInstance(const std::string &name) -> void {
   Nodes.addInstance(name, DataCentreOf.at(name));
-  Nodes.publishConfiguration(name, Config);
+  if (Options.PublishesViews)
+    Nodes.publishConfiguration(name, Config);
   Paused.erase(name);
   Stopping.erase(name);
   for (const auto &it : Names)
@@ -172,6 +186,8 @@
 /// Each instance's own view of the members, by when it last heard of each,
 /// and the health of the upstreams as it is.
 auto RequestWorld::publishViews() -> void {
+  if (!Options.PublishesViews)
+    return;
   HealthView health;
   for (const auto &h : Hosts) {
     const auto cold = h->Model.isCold();
@@ -277,9 +293,15 @@
   if (Random.unit() < Options.CallerLoss ||
       (DropFromCaller && DropFromCaller(p)))
     return;
-  auto dc = c.DataCentre;
-  if (Random.unit() < Options.Roaming)
-    dc = Options.DataCentres[Random.below(Options.DataCentres.size())];
+  const auto isRoaming = Random.unit() < Options.Roaming;
+  sendToFabric(
+      isRoaming ? Options.DataCentres[Random.below(Options.DataCentres.size())]
+                : c.DataCentre,
+      p);
+}
+
+auto RequestWorld::sendToFabric(const std::string &dc, const Packet &p)
+    -> void {
   std::vector<std::string> targets;
   for (const auto &name : Names)
     if (DataCentreOf.at(name) == dc && Nodes.isRunning(name))
@@ -291,6 +313,11 @@
 }
 
 auto RequestWorld::toCaller(const Packet &p) -> void {
+  if (p.Kind != PacketKind::Reply) {
+    if (OnFlowPacket)
+      Nodes.Network.after(CallerDelay, [this, p] { OnFlowPacket(p); });
+    return;
+  }
   auto it = std::find_if(Callers.begin(), Callers.end(), [&p](const auto &c) {
     return c->Flow.Caller == p.Flow.Caller;
   });
@@ -338,8 +365,13 @@
       h.Model.cancel(now(), {CallerId{m.caller}, m.number});
     return;
   }
+  if (p.Kind != PacketKind::Execute) {
+    if (OnHostPacket)
+      OnHostPacket(h.Number, from, p);
+    return;
+  }
   rw::ExecuteT m;
-  if (p.Kind != PacketKind::Execute || !decode(p.Payload, m))
+  if (!decode(p.Payload, m))
     return;
   const auto request = idOf(fromWire(m.body));
   const ModelRequestKey key{CallerId{m.caller}, m.number};
@@ -429,6 +461,14 @@
   Nodes.kill(name);
 }
 
+auto RequestWorld::join(const std::string &name, const std::string &dc)
+    -> void {
+  Names.push_back(name);
+  DataCentreOf[name] = dc;
+  addInstance(name);
+  publishViews();
+}
+
 auto RequestWorld::restart(const std::string &name) -> void {
   kill(name);
   addInstance(name);
@@ -476,6 +516,22 @@
   return Hosts[n]->DataCentre;
 }
 
+auto RequestWorld::hostAddress(std::size_t n) const -> const Endpoint & {
+  return Hosts[n]->Address;
+}
+
+auto RequestWorld::sendFromHost(std::size_t n, const std::string &to,
+                                const Packet &p) -> void {
+  const auto &h = *Hosts[n];
+  const auto &dc = DataCentreOf.at(to);
+  if (Cuts.contains({h.DataCentre, dc}))
+    return;
+  const auto delay = dc == h.DataCentre ? LocalHostDelay : RemoteHostDelay;
+  Nodes.Network.after(delay, [this, to, from = h.Address, p] {
+    Nodes.fromUpstream(to, from, p);
+  });
+}
+
 auto RequestWorld::caller(std::size_t n) -> Caller & { return Callers[n]->It; }
 
 auto RequestWorld::capacity(ServiceId s) const -> double {
--- a/src/fakes/request_world.h
+++ b/src/fakes/request_world.h
@@ -52,6 +52,13 @@
   Duration DeadAfter = std::chrono::seconds(3);
   /// Makes the controllers of an instance; the request controller by default.
   ControllerFactory Make;
+  /// Makes the store's client of an instance; one that is silent by default.
+  std::function<std::unique_ptr<PlatformClient>(Fleet &,
+                                                const InstanceIdentity &)>
+      MakePlatform;
+  /// False: the controllers of Make find out configuration, members and health
+  /// by themselves.
+  bool PublishesViews = true;
   EventLog *Log = nullptr;
 };
 
@@ -105,6 +112,8 @@
   auto ask(std::size_t caller, RequestSpec spec) -> TrackedRequest;
 
   auto kill(const std::string &name) -> void;
+  /// Starts a new instance \p name in \p dc.
+  auto join(const std::string &name, const std::string &dc) -> void;
   auto restart(const std::string &name) -> void;
   auto setPaused(const std::string &name, bool paused) -> void;
   auto beginStop(const std::string &name) -> void;
@@ -119,6 +128,14 @@
   auto host(std::size_t n) -> UpstreamModel &;
   auto hostCount() const -> std::size_t { return Hosts.size(); }
   auto hostDataCentre(std::size_t n) const -> const std::string &;
+  auto hostAddress(std::size_t n) const -> const Endpoint &;
+  /// Adds host \p n of service \p s in \p dc to the world and configuration().
+  auto addHost(const std::string &dc, ServiceId s, std::size_t n) -> void;
+  /// Sends \p p from host \p n to the instance called \p to.
+  auto sendFromHost(std::size_t n, const std::string &to, const Packet &p)
+      -> void;
+  /// Hands \p p to some instance of \p dc, as the fabric does.
+  auto sendToFabric(const std::string &dc, const Packet &p) -> void;
   auto caller(std::size_t n) -> Caller &;
   auto requests() const -> const std::vector<TrackedRequest> & {
     return Tracked;
@@ -141,6 +158,11 @@
   static auto booking() -> ServiceId;
   static auto uploads() -> ServiceId;
 
+  /// Packets that are not of the request plane: to host number \p host from the
+  /// instance \p from, and to callers. Null: lost.
+  std::function<void(std::size_t host, const std::string &from, const Packet &)>
+      OnHostPacket;
+  std::function<void(const Packet &)> OnFlowPacket;
   /// Called for each reply that a caller gets, before the caller.
   std::function<void(std::size_t caller, const Packet &)> OnReply;
   /// Asked for each packet of a caller; true drops it.
@@ -151,7 +173,7 @@
   struct Host;
   using Key = std::pair<std::uint64_t, std::uint64_t>;
 
-  auto addHost(const std::string &dc, ServiceId s, std::size_t n) -> void;
+  auto makePlatformFactory() -> PlatformFactory;
   auto addInstance(const std::string &name) -> void;
   auto publishViews() -> void;
   auto isReachable(const std::string &from, const std::string &to) const
--- /dev/null
+++ b/src/scenario/chaos.cpp
@@ -0,0 +1,168 @@
+#include "scenario/chaos.h"
+
+#include <array>
+
+namespace boragebridge::scenario {
+
+namespace {
+
+/// A fault and what ends it. Both act on the same argument.
+struct Fault {
+  std::string_view Begin;
+  std::string_view End;
+};
+
+constexpr std::array Faults{Fault{"kill", "join"},
+                            Fault{"pause", "resume"},
+                            Fault{"leave", "join"},
+                            Fault{"die", "revive"},
+                            Fault{"cold", ""},
+                            Fault{"shed", "accept"},
+                            Fault{"crossed", "prompt"},
+                            Fault{"late", "prompt"},
+                            Fault{"doubled", "prompt"},
+                            Fault{"drain", "activate"},
+                            Fault{"withdraw", "return"},
+                            Fault{"partition", "heal"},
+                            Fault{"platform", "platform"}};
+
+auto chaosTopology(const ChaosOptions &opt) -> Topology {
+  Topology t;
+  t.Seed = opt.Seed;
+  return t;
+}
+
+/// Draws the events of one run.
+class Composer {
+public:
+  explicit Composer(const ChaosOptions &opt)
+      : Options(opt), Shape(chaosTopology(opt)), Random(opt.Seed) {}
+
+  auto compose() -> std::vector<Event> {
+    for (std::size_t n = 0; n < Options.Steps; ++n) {
+      At += Random.jitter(Options.Gap);
+      addStep();
+    }
+    while (!Open.empty()) {
+      At += Random.jitter(Options.Gap);
+      end(Open.begin()->first);
+    }
+    return std::move(Events);
+  }
+
+private:
+  auto addStep() -> void {
+    const auto n = Random.below(Faults.size());
+    if (Open.contains(n))
+      return end(n);
+    const auto &fault = Faults.at(n);
+    const auto *verb = findVerb(fault.Begin);
+    const auto argument = draw(verb->Argument);
+    // One fault an instance or upstream at a time.
+    for (const auto &[other, busy] : Open)
+      if (busy == argument)
+        return;
+    Events.push_back({At, verb, argument});
+    if (!fault.End.empty())
+      Open[n] = argument;
+  }
+
+  auto end(std::size_t n) -> void {
+    const auto *verb = findVerb(Faults.at(n).End);
+    auto argument = Open.at(n);
+    if (verb->Argument == ArgumentKind::NewInstance)
+      argument += "@" + argument.substr(0, argument.rfind('-'));
+    if (verb->Argument == ArgumentKind::PlatformState)
+      argument = "up";
+    Events.push_back({At, verb, argument});
+    Open.erase(n);
+  }
+
+  auto pick(const std::vector<std::string> &all) -> std::string {
+    return all[Random.below(all.size())];
+  }
+
+  auto draw(ArgumentKind kind) -> std::string {
+    switch (kind) {
+    case ArgumentKind::Upstream:
+      return pick(upstreamsOf(Shape));
+    case ArgumentKind::DataCentre:
+      return pick(Shape.DataCentres);
+    case ArgumentKind::DataCentrePair:
+      return Shape.DataCentres[0] + "/" + Shape.DataCentres[1];
+    case ArgumentKind::PlatformState:
+      return pick({"down", "slow", "losing"});
+    case ArgumentKind::Instance:
+    case ArgumentKind::NewInstance:
+      break;
+    }
+    return pick(instancesOf(Shape));
+  }
+
+  const ChaosOptions &Options;
+  Topology Shape;
+  SeededRandom Random;
+  Duration At{};
+  std::map<std::size_t, std::string> Open;
+  std::vector<Event> Events;
+};
+
+auto traceOf(SystemWorld &world) -> std::string {
+  std::string trace;
+  for (const auto &it : allMeasures())
+    trace += std::string(it.Name) + "=" +
+             std::to_string(static_cast<std::uint64_t>(it.Read(world))) + " ";
+  return trace;
+}
+
+} // namespace
+
+auto composeEvents(const ChaosOptions &opt) -> std::vector<Event> {
+  return Composer(opt).compose();
+}
+
+auto playChaos(const ChaosOptions &opt, const std::vector<Event> &events)
+    -> ChaosResult {
+  constexpr Duration EndTime = std::chrono::seconds(10);
+  ChaosResult r;
+  r.Events = events;
+  SystemWorld world(chaosTopology(opt));
+  world.setLoad(opt.Traffic);
+  world.settle();
+  const auto begin = world.now();
+  for (const auto &it : events) {
+    world.run(begin + it.At - world.now());
+    r.Breaches = findBreaches(world);
+    if (!r.Breaches.empty())
+      break;
+    it.Action->Act(world, it.Argument);
+    ++r.BrokenAfter;
+  }
+  if (r.Breaches.empty()) {
+    world.run(EndTime);
+    r.Breaches = findBreaches(world);
+  }
+  r.Trace = traceOf(world);
+  return r;
+}
+
+auto shorten(const ChaosOptions &opt, const ChaosResult &failed,
+             std::size_t tries) -> ChaosResult {
+  auto best = failed;
+  best.Events.resize(best.BrokenAfter);
+  const auto promise =
+      best.Breaches.front().substr(0, best.Breaches.front().find(':'));
+  for (std::size_t at = best.Events.size(); at-- > 0 && tries > 0; --tries) {
+    auto fewer = best.Events;
+    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(at));
+    auto r = playChaos(opt, fewer);
+    if (r.Breaches.empty() || !r.Breaches.front().starts_with(promise + ":"))
+      continue;
+    r.Events.resize(r.BrokenAfter);
+    at = std::min(at, r.Events.size());
+    best = std::move(r);
+  }
+  return best;
+}
+
+} // namespace boragebridge::scenario
--- /dev/null
+++ b/src/scenario/promises.cpp
@@ -0,0 +1,105 @@
+#include "scenario/promises.h"
+
+#include <algorithm>
+#include <array>
+
+namespace boragebridge::scenario {
+
+using fakes::UpstreamCounts;
+using World = SystemWorld;
+
+static constexpr std::array Promises{
+    Promise{"flows", "an established flow survives any planned change",
+            [](World &w) { return w.counts().FlowsBroken; }},
+    Promise{"service", "a packet never reaches another service",
+            [](World &w) { return w.hostSum(&UpstreamCounts::Misdelivered); }},
+    Promise{"cold", "a cold upstream is not given more than it bears",
+            [](World &w) { return w.hostSum(&UpstreamCounts::Falls); }},
+    Promise{"withdrawn", "a withdrawn data centre gets no packets after 5 s",
+            [](World &w) {
+              return w.hostSum(&UpstreamCounts::PacketsAfterWithdrawal);
+            }},
+    Promise{"answers", "a caller gets the whole answer to its own request",
+            [](World &w) { return w.requests().report().MixedAnswers; }},
+    Promise{"refusals", "what is refused as not run did not run",
+            [](World &w) { return w.requests().report().FalseRefusals; }},
+    Promise{"once", "a request that may not be repeated runs at most once",
+            [](World &w) { return w.requests().report().RunsOverLimit; }},
+    Promise{
+        "leaving", "a leaving upstream gets no new work after 5 s",
+        [](World &w) { return w.hostSum(&UpstreamCounts::NewWorkAfterLeave); }},
+    Promise{"stop", "a planned stop cuts no request in progress",
+            [](World &w) { return w.cutByPlannedChanges(); }},
+    Promise{"configuration", "what is accepted is in force in 5 s and stays",
+            [](World &w) {
+              return w.counts().ChangesLate + w.counts().RevisionsLost;
+            }},
+};
+
+static constexpr std::array Measures{
+    Measure{"submitted",
+            [](World &w) {
+              return static_cast<double>(w.requests().report().Submitted);
+            }},
+    Measure{"answered",
+            [](World &w) {
+              return static_cast<double>(w.requests().report().Answered);
+            }},
+    Measure{"refused",
+            [](World &w) {
+              return static_cast<double>(w.requests().report().Refused);
+            }},
+    Measure{"unknown",
+            [](World &w) {
+              return static_cast<double>(w.requests().report().Unknown);
+            }},
+    Measure{"cold_over_limit",
+            [](World &w) {
+              return static_cast<double>(
+                  w.hostSum(&UpstreamCounts::ColdOverLimit));
+            }},
+    Measure{"flows_established",
+            [](World &w) {
+              return static_cast<double>(w.counts().FlowsEstablished);
+            }},
+    Measure{
+        "flows_excused",
+        [](World &w) { return static_cast<double>(w.counts().FlowsExcused); }},
+    Measure{"changes_accepted",
+            [](World &w) {
+              return static_cast<double>(w.counts().ChangesAccepted);
+            }},
+    Measure{"changes_refused",
+            [](World &w) {
+              return static_cast<double>(w.counts().ChangesRefused);
+            }},
+};
+
+auto allPromises() -> std::span<const Promise> { return Promises; }
+auto allMeasures() -> std::span<const Measure> { return Measures; }
+
+template <typename Table>
+static auto findByName(const Table &table, std::string_view name)
+    -> decltype(table.data()) {
+  const auto it = std::find_if(table.begin(), table.end(),
+                               [&](const auto &p) { return p.Name == name; });
+  return it == table.end() ? nullptr : &*it;
+}
+
+auto findPromise(std::string_view name) -> const Promise * {
+  return findByName(Promises, name);
+}
+
+auto findMeasure(std::string_view name) -> const Measure * {
+  return findByName(Measures, name);
+}
+
+auto findBreaches(SystemWorld &world) -> std::vector<std::string> {
+  std::vector<std::string> all;
+  for (const auto &it : Promises)
+    if (const auto n = it.CountBreaches(world); n != 0)
+      all.push_back(std::string(it.Name) + ": " + std::to_string(n));
+  return all;
+}
+
+} // namespace boragebridge::scenario
--- /dev/null
+++ b/src/scenario/system_world.h
@@ -0,0 +1,152 @@
+/// \file
+/// The whole system on the manual clock: instances with the product's own
+/// controllers, the platform's store, upstream models, callers of requests and
+/// of flows, and an operator. Scenarios and the chaos experiment act on it.
+#ifndef BORAGEBRIDGE_SCENARIO_SYSTEM_WORLD_H
+#define BORAGEBRIDGE_SCENARIO_SYSTEM_WORLD_H
+
+#include "config/change.h"
+#include "fakes/fake_platform.h"
+#include "fakes/request_world.h"
+
+namespace boragebridge::scenario {
+
+/// What a world starts with.
+struct Topology {
+  std::uint64_t Seed = 1;
+  std::vector<std::string> DataCentres{"palermo", "catania"};
+  std::size_t Instances = 3;
+  std::size_t BookingHosts = 3;
+  std::size_t UploadHosts = 1;
+  std::size_t Callers = 8;
+};
+
+/// What callers do.
+struct Load {
+  double RequestsPerSecond = 0;
+  double FlowsPerSecond = 0;
+  /// Flows that are open at once at most.
+  std::size_t MaxFlows = 200;
+};
+
+/// What the world has counted besides the request plane's own report.
+struct WorldCounts {
+  std::uint64_t FlowsEstablished = 0;
+  std::uint64_t FlowsBroken = 0;
+  /// Broken with their upstream, or given up with its data centre.
+  std::uint64_t FlowsExcused = 0;
+  std::uint64_t ChangesAccepted = 0;
+  std::uint64_t ChangesRefused = 0;
+  /// Accepted, and not in force everywhere in time.
+  std::uint64_t ChangesLate = 0;
+  /// Times that an instance went back to a lower revision.
+  std::uint64_t RevisionsLost = 0;
+};
+
+/// Not thread-safe.
+class SystemWorld {
+public:
+  /// In force, silent or without new work after this.
+  static constexpr Duration PromiseTime = std::chrono::seconds(5);
+
+  explicit SystemWorld(const Topology &t);
+  SystemWorld(const SystemWorld &) = delete;
+  auto operator=(const SystemWorld &) -> SystemWorld & = delete;
+  ~SystemWorld();
+
+  /// Imports the first sheet and lets hosts and instances settle.
+  auto settle() -> void;
+  auto run(Duration d) -> void;
+  auto setLoad(const Load &l) -> void { Current = l; }
+
+  // Instances.
+  auto kill(const std::string &name) -> void;
+  auto pause(const std::string &name) -> void;
+  auto resume(const std::string &name) -> void;
+  auto join(const std::string &name, const std::string &dc) -> void;
+  auto leave(const std::string &name) -> void;
+
+  // Upstreams, by name.
+  auto hostNames() const -> std::vector<std::string>;
+  /// Precondition: hasHost(name).
+  auto host(const std::string &name) -> fakes::UpstreamModel &;
+  auto hasHost(const std::string &name) const -> bool;
+  auto killHost(const std::string &name) -> void;
+  auto restartHost(const std::string &name) -> void;
+
+  // Operators.
+  auto drain(const std::string &host) -> void;
+  auto activate(const std::string &host) -> void;
+  auto withdraw(const std::string &dc) -> void;
+  auto giveBack(const std::string &dc) -> void;
+  /// Imports the sheet anew with one more booking host in \p dc.
+  auto importWithNewHost(const std::string &dc) -> void;
+
+  // Surroundings.
+  auto setCut(const std::string &a, const std::string &b, bool cut) -> void;
+  auto platform() -> fakes::PlatformFaults & { return Faults; }
+
+  auto topology() const -> const Topology & { return Shape; }
+  auto instanceNames() const -> std::vector<std::string>;
+  auto isRunning(const std::string &name) -> bool;
+  auto isPaused(const std::string &name) const -> bool {
+    return Paused.contains(name);
+  }
+  auto now() const -> TimePoint { return Requests->now(); }
+  auto requests() -> fakes::RequestWorld & { return *Requests; }
+  auto counts() const -> const WorldCounts & { return Counts; }
+  /// Sum over the hosts of one of their counts.
+  auto hostSum(std::uint64_t fakes::UpstreamCounts::*count) -> std::uint64_t;
+  /// Requests that ended as unknown or answer lost while nothing but planned
+  /// changes had happened.
+  auto cutByPlannedChanges() const -> std::uint64_t;
+  auto noteUnplannedFault() -> void;
+
+private:
+  struct Flow;
+  struct AcceptedChange;
+
+  auto makeWorld() -> std::unique_ptr<fakes::RequestWorld>;
+  auto step() -> void;
+  auto startLoad() -> void;
+  auto openFlow() -> void;
+  auto driveFlows() -> void;
+  auto onHostPacket(std::size_t host, const std::string &from, const Packet &p)
+      -> void;
+  auto onFlowPacket(const Packet &p) -> void;
+  auto excuseFlows(std::size_t host) -> void;
+  auto noteFalls() -> void;
+  auto hostIndex(const std::string &name) const -> std::size_t;
+
+  auto operate(std::vector<Operation> all, std::function<void()> accepted)
+      -> void;
+  auto submit(ChangeRequest r, std::function<void()> accepted) -> void;
+  auto checkRevisions() -> void;
+  auto currentSheet() -> Sheet;
+
+  Topology Shape;
+  Load Current;
+  double DueRequests = 0;
+  double DueFlows = 0;
+  fakes::PlatformFaults Faults;
+  std::unique_ptr<fakes::ObjectStore> Store;
+  SeededRandom Random;
+  std::unique_ptr<fakes::RequestWorld> Requests;
+  std::set<std::string> Paused;
+  std::map<std::string, TimePoint> ResumedAt;
+  std::map<std::pair<std::string, Incarnation>, Revision> Seen;
+  std::vector<std::unique_ptr<Flow>> Flows;
+  std::map<Endpoint, Flow *> FlowOf;
+  std::map<std::string, std::uint64_t> FallsOf;
+  std::vector<AcceptedChange> Accepted;
+  std::optional<std::size_t> TrackedBeforeFault;
+  std::set<std::pair<std::string, std::string>> Cuts;
+  TimePoint LastDisturbance;
+  WorldCounts Counts;
+  std::uint64_t NextChange = 1;
+  std::uint32_t NextCaller = 0;
+};
+
+} // namespace boragebridge::scenario
+
+#endif
--- /dev/null
+++ b/src/scenario/system_world_actions.cpp
@@ -0,0 +1,132 @@
+/// \file
+/// What scenarios do to the world.
+#include "scenario/system_world.h"
+#include "scenario/system_world_parts.h"
+
+#include <algorithm>
+
+namespace boragebridge::scenario {
+
+auto SystemWorld::instanceNames() const -> std::vector<std::string> {
+  return Requests->instanceNames();
+}
+
+auto SystemWorld::isRunning(const std::string &name) -> bool {
+  return Requests->fleet().isRunning(name);
+}
+
+auto SystemWorld::kill(const std::string &name) -> void {
+  noteUnplannedFault();
+  resume(name);
+  Requests->kill(name);
+}
+
+auto SystemWorld::pause(const std::string &name) -> void {
+  noteUnplannedFault();
+  Paused.insert(name);
+  Faults.Paused.insert(idFromName<InstanceId>(name));
+  Requests->setPaused(name, true);
+}
+
+auto SystemWorld::resume(const std::string &name) -> void {
+  if (Paused.erase(name) == 0)
+    return;
+  LastDisturbance = now();
+  Faults.Paused.erase(idFromName<InstanceId>(name));
+  Requests->setPaused(name, false);
+}
+
+auto SystemWorld::join(const std::string &name, const std::string &dc) -> void {
+  LastDisturbance = now();
+  const auto &names = Requests->instanceNames();
+  if (std::find(names.begin(), names.end(), name) != names.end())
+    Requests->restart(name);
+  else
+    Requests->join(name, dc);
+}
+
+auto SystemWorld::leave(const std::string &name) -> void {
+  Requests->beginStop(name);
+}
+
+auto SystemWorld::hostNames() const -> std::vector<std::string> {
+  std::vector<std::string> names;
+  for (const auto &it : Requests->configuration().Upstreams)
+    names.push_back(it.Name);
+  return names;
+}
+
+auto SystemWorld::hasHost(const std::string &name) const -> bool {
+  return hostIndex(name) < Requests->hostCount();
+}
+
+auto SystemWorld::hostIndex(const std::string &name) const -> std::size_t {
+  const auto &all = Requests->configuration().Upstreams;
+  const auto it = std::find_if(all.begin(), all.end(), [&](const Upstream &u) {
+    return u.Name == name;
+  });
+  return static_cast<std::size_t>(it - all.begin());
+}
+
+auto SystemWorld::host(const std::string &name) -> fakes::UpstreamModel & {
+  return Requests->host(hostIndex(name));
+}
+
+auto SystemWorld::killHost(const std::string &name) -> void {
+  noteUnplannedFault();
+  excuseFlows(hostIndex(name));
+  host(name).kill(now());
+}
+
+auto SystemWorld::restartHost(const std::string &name) -> void {
+  noteUnplannedFault();
+  excuseFlows(hostIndex(name));
+  host(name).restart(now());
+}
+
+auto SystemWorld::drain(const std::string &name) -> void {
+  operate({{OperationKind::Drain, "upstream/" + name, {}}},
+          [this, name] { host(name).expectNoNewWork(now() + PromiseTime); });
+}
+
+auto SystemWorld::activate(const std::string &name) -> void {
+  host(name).expectNoNewWork(std::nullopt);
+  operate({{OperationKind::Activate, "upstream/" + name, {}}}, {});
+}
+
+auto SystemWorld::withdraw(const std::string &dc) -> void {
+  operate({{OperationKind::Withdraw, "data_centre/" + dc, {}}}, [this, dc] {
+    for (std::size_t n = 0; n < Requests->hostCount(); ++n) {
+      if (Requests->hostDataCentre(n) != dc)
+        continue;
+      excuseFlows(n);
+      Requests->host(n).expectNoPackets(now() + PromiseTime);
+    }
+  });
+}
+
+auto SystemWorld::giveBack(const std::string &dc) -> void {
+  for (std::size_t n = 0; n < Requests->hostCount(); ++n)
+    if (Requests->hostDataCentre(n) == dc)
+      Requests->host(n).expectNoPackets(std::nullopt);
+  operate({{OperationKind::Return, "data_centre/" + dc, {}}}, {});
+}
+
+auto SystemWorld::importWithNewHost(const std::string &dc) -> void {
+  Requests->addHost(dc, fakes::RequestWorld::booking(), Requests->hostCount());
+  ChangeRequest r;
+  r.Import = currentSheet();
+  submit(std::move(r), {});
+}
+
+auto SystemWorld::setCut(const std::string &a, const std::string &b, bool cut)
+    -> void {
+  noteUnplannedFault();
+  Requests->setCut(a, b, cut);
+  if (cut)
+    Cuts.insert({a, b});
+  else
+    Cuts.erase({a, b});
+}
+
+} // namespace boragebridge::scenario
