--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -9,12 +9,12 @@
 namespace boragebridge {
 
 auto makeDefaultControllers(const ControllerContext &ctx) -> ControllerList {
-  ControllerList all;
   auto platform = std::make_shared<BudgetedPlatform>(ctx);
-  all.push_back(makeMembershipController(ctx, platform));
-  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
   auto health = makeHealthController(ctx);
   auto *observer = health.get();
+  ControllerList all;
+  all.push_back(makeMembershipController(ctx, platform));
+  all.push_back(std::make_unique<ConfigurationController>(ctx, platform));
   all.push_back(std::move(health));
   all.push_back(makeFlowController(ctx));
   all.push_back(makeRequestController(ctx, observer));
