--- /dev/null
+++ b/bench/blind_forwarder.cpp
@@ -0,0 +1,145 @@
+#include "blind_forwarder.h"
+
+#include "request/messages.h"
+
+#include <unordered_map>
+
+namespace boragebridge::bench {
+
+namespace {
+
+constexpr int MaxTries = 3;
+constexpr Duration TryTimeout = std::chrono::milliseconds(500);
+
+class BlindForwarder final : public Controller {
+public:
+  explicit BlindForwarder(const ControllerContext &ctx)
+      : Ctx(ctx),
+        Sent(ctx.Metrics.counter("request_executes_total", "Attempts sent")),
+        OwnRetries(ctx.Metrics.counter("request_own_retries_total",
+                                       "Attempts repeated")) {}
+
+  auto name() const -> std::string_view override { return "blind_forwarder"; }
+  auto family() const -> MessageFamily override {
+    return MessageFamily::Request;
+  }
+  auto onPeerFrame(const PeerFrame &) -> bool override { return true; }
+
+  auto onPacket(PacketOrigin, const Endpoint &, const Packet &p)
+      -> bool override {
+    if (p.Kind == PacketKind::Request)
+      onRequest(p);
+    else if (p.Kind == PacketKind::Result)
+      onResult(p);
+    return true;
+  }
+
+  auto tick(TimePoint now) -> void override {
+    std::vector<std::uint32_t> late;
+    for (const auto &[attempt, it] : Pending)
+      if (it.SentAt + TryTimeout <= now)
+        late.push_back(attempt);
+    for (auto attempt : late)
+      tryAgain(attempt);
+  }
+
+private:
+  struct Forwarded {
+    FlowKey Flow;
+    rw::RequestT Content;
+    TimePoint SentAt;
+    int Tries = 0;
+  };
+
+  auto onRequest(const Packet &p) -> void {
+    Forwarded f{p.Flow, {}, {}, 0};
+    if (!decode(p.Payload, f.Content))
+      return;
+    if (f.Content.number == 0)
+      return refuse(f);
+    forward(std::move(f));
+  }
+
+  /// Any ticket will do: nothing here checks it.
+  auto refuse(const Forwarded &f) -> void {
+    rw::ReplyT m;
+    m.caller = f.Content.caller;
+    m.number = f.Content.number;
+    m.outcome = rw::Outcome::RefusedNotRun;
+    m.ticket = {1};
+    m.next_number = Ctx.Random.next() | 1U;
+    Ctx.Packets.sendToCaller({PacketKind::Reply, f.Flow, encode(m)});
+  }
+
+  auto forward(Forwarded f) -> void {
+    const auto cfg = Ctx.Board.Configuration.read();
+    std::vector<const Upstream *> all;
+    for (const auto &u : cfg->Upstreams)
+      if (raw(u.Service) == f.Content.service &&
+          !cfg->isWithdrawn(u.DataCentre))
+        all.push_back(&u);
+    if (all.empty())
+      return refuse(f);
+    const auto *u = all[Ctx.Random.below(all.size())];
+    rw::ExecuteT m;
+    m.service = f.Content.service;
+    m.caller = f.Content.caller;
+    m.number = f.Content.number;
+    m.attempt = ++Attempts;
+    m.remaining_ms = f.Content.remaining_ms;
+    m.body = f.Content.body;
+    Sent.add();
+    f.SentAt = Ctx.Time.now();
+    ++f.Tries;
+    const auto flow = f.Flow;
+    Pending[m.attempt] = std::move(f);
+    Ctx.Packets.sendToUpstream(u->Address,
+                               {PacketKind::Execute, flow, encode(m)});
+  }
+
+  auto tryAgain(std::uint32_t attempt) -> void {
+    auto f = std::move(Pending.at(attempt));
+    Pending.erase(attempt);
+    if (f.Tries >= MaxTries)
+      return refuse(f);
+    OwnRetries.add();
+    forward(std::move(f));
+  }
+
+  auto onResult(const Packet &p) -> void {
+    rw::ResultT m;
+    if (!decode(p.Payload, m) || !Pending.contains(m.attempt))
+      return;
+    if (m.outcome != rw::ResultOutcome::Answered)
+      return tryAgain(m.attempt);
+    rw::ReplyT reply;
+    reply.caller = m.caller;
+    reply.number = m.number;
+    reply.chunk = m.chunk;
+    reply.chunks = m.chunks;
+    reply.digest = m.digest;
+    reply.body = m.body;
+    reply.ticket = {1};
+    reply.next_number = Ctx.Random.next() | 1U;
+    const auto flow = Pending.at(m.attempt).Flow;
+    if (m.chunk + 1 == m.chunks)
+      Pending.erase(m.attempt);
+    Ctx.Packets.sendToCaller({PacketKind::Reply, flow, encode(reply)});
+  }
+
+  const ControllerContext &Ctx;
+  Counter &Sent;
+  Counter &OwnRetries;
+  std::unordered_map<std::uint32_t, Forwarded> Pending;
+  std::uint32_t Attempts = 0;
+};
+
+} // namespace
+
+auto makeBlindForwarder(const ControllerContext &ctx) -> ControllerList {
+  ControllerList all;
+  all.push_back(std::make_unique<BlindForwarder>(ctx));
+  return all;
+}
+
+} // namespace boragebridge::bench
--- /dev/null
+++ b/bench/departure.cpp
@@ -0,0 +1,177 @@
+#include "experiments.h"
+#include "request_load.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace boragebridge::bench {
+
+namespace {
+
+using fakes::RequestWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Before = seconds(10);
+constexpr Duration Away = seconds(20);
+constexpr Duration After = seconds(25);
+constexpr Duration DrainTime = seconds(8);
+constexpr Duration LoadStep = milliseconds(5);
+/// Packets to a withdrawn data centre must have ended after this.
+constexpr Duration SilenceAfter = seconds(5);
+constexpr std::size_t Callers = 60;
+constexpr double Enough = 0.95;
+
+/// The figures of one phase.
+struct Phase {
+  double GoodputOverCapacity = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Unknown = 0;
+  double P50 = 0;
+  double P99 = 0;
+};
+
+auto setHostsExpectSilence(RequestWorld &w, const std::string &dc,
+                           std::optional<TimePoint> from) -> void {
+  for (std::size_t n = 0; n < w.hostCount(); ++n)
+    if (w.hostDataCentre(n) == dc)
+      w.host(n).expectNoPackets(from);
+}
+
+auto turnHostsCold(RequestWorld &w, const std::string &dc) -> void {
+  for (std::size_t n = 0; n < w.hostCount(); ++n)
+    if (w.hostDataCentre(n) == dc)
+      w.host(n).turnCold(w.now());
+}
+
+auto measure(const RequestWorld &w, TimePoint from, TimePoint to,
+             double capacity) -> Phase {
+  Phase p;
+  p.GoodputOverCapacity =
+      answeredPerSecond(w, RequestWorld::booking(), from, to) / capacity;
+  p.P50 = latencyQuantile(w, from, to, 0.5);
+  p.P99 = latencyQuantile(w, from, to, 0.99);
+  for (const auto &r : w.requests()) {
+    if (r.Submitted < from || r.Submitted >= to)
+      continue;
+    p.Refused += r.Kind == OutcomeKind::RefusedNotRun && r.IsEnded ? 1 : 0;
+    p.Unknown += r.Kind == OutcomeKind::Unknown && r.IsEnded ? 1 : 0;
+  }
+  return p;
+}
+
+/// The lowest answered rate of a second in [from, to), over \p capacity.
+auto worstSecond(const RequestWorld &w, TimePoint from, TimePoint to,
+                 double capacity) -> double {
+  double worst = 1;
+  for (auto at = from; at + seconds(1) <= to; at += seconds(1))
+    worst = std::min(worst, answeredPerSecond(w, RequestWorld::booking(), at,
+                                              at + seconds(1)) /
+                                capacity);
+  return worst;
+}
+
+/// Seconds after \p from until a second reaches 95% of \p capacity, -1 when
+/// none does.
+auto timeToCapacity(const RequestWorld &w, TimePoint from, TimePoint to,
+                    double capacity) -> double {
+  constexpr Duration Step = milliseconds(100);
+  for (auto at = from; at + seconds(1) <= to; at += Step)
+    if (answeredPerSecond(w, RequestWorld::booking(), at, at + seconds(1)) >=
+        Enough * capacity)
+      return std::chrono::duration<double>(at + seconds(1) - from).count();
+  return -1;
+}
+
+auto toJson(const Phase &p) -> boost::json::object {
+  return {{"goodput_over_capacity", p.GoodputOverCapacity},
+          {"refused", p.Refused},
+          {"unknown", p.Unknown},
+          {"latency_p50_ms", p.P50},
+          {"latency_p99_ms", p.P99}};
+}
+
+} // namespace
+
+auto runDeparture(int argc, char **argv) -> int {
+  cxxopts::Options options("boragebench departure",
+                           "A data centre leaves and returns in an opening");
+  options.add_options()("seed", "Seed of the run",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "deployment", "cenacolo or alliance",
+      cxxopts::value<std::string>()->default_value("alliance"))(
+      "load", "Requests offered, as a share of the full capacity",
+      cxxopts::value<double>()->default_value("1.3"))("help",
+                                                      "Show the options");
+  const auto args = options.parse(argc, argv);
+  if (args.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  const auto seed = args["seed"].as<std::uint64_t>();
+  const auto deployment = args["deployment"].as<std::string>();
+  auto opt = deploymentOptions(deployment, seed);
+  opt.Callers = Callers;
+  RequestWorld w(opt);
+  const auto booking = RequestWorld::booking();
+  const auto full = w.capacity(booking);
+  const auto share = 1.0 / static_cast<double>(opt.DataCentres.size());
+  const auto reachable = full * (1 - share);
+  const auto leaving = opt.DataCentres.front();
+  OpenLoad load(w, booking, 0, Callers, seed + 1);
+  auto runFor = [&](Duration d) {
+    const auto end = w.now() + d;
+    while (w.now() < end) {
+      load.tick();
+      w.run(LoadStep);
+    }
+  };
+  w.run(RequestWorld::WarmUp);
+  load.setRate(args["load"].as<double>() * full);
+  runFor(seconds(4));
+  const auto start = w.now();
+  runFor(Before);
+  const auto left = w.now();
+  w.setWithdrawn(leaving, true);
+  setHostsExpectSilence(w, leaving, left + SilenceAfter);
+  runFor(Away / 2);
+  turnHostsCold(w, leaving);
+  runFor(Away / 2);
+  const auto back = w.now();
+  setHostsExpectSilence(w, leaving, std::nullopt);
+  w.setWithdrawn(leaving, false);
+  runFor(After);
+  const auto end = w.now();
+  load.setRate(0);
+  runFor(DrainTime);
+
+  const auto r = w.report();
+  boost::json::object root;
+  root["experiment"] = "departure";
+  root["deployment"] = deployment;
+  root["seed"] = seed;
+  root["before"] = toJson(measure(w, start, left, full));
+  root["away"] = toJson(measure(w, left, back, reachable));
+  root["after"] = toJson(measure(w, back, end, full));
+  root["packets_after_withdrawal"] = r.PacketsAfterWithdrawal;
+  root["worst_second_away"] = worstSecond(w, left, back, reachable);
+  root["worst_second_after"] = worstSecond(w, back, end, reachable);
+  root["seconds_to_reachable_capacity"] =
+      timeToCapacity(w, left, back, reachable);
+  root["seconds_to_full_capacity"] = timeToCapacity(w, back, end, full);
+  root["cold_over_limit"] = r.ColdOverLimit;
+  root["slots_over_limit"] = r.SlotsOverLimit;
+  root["runs_over_limit"] = r.RunsOverLimit;
+  root["false_refusals"] = r.FalseRefusals;
+  root["mixed_answers"] = r.MixedAnswers;
+  std::cout << boost::json::serialize(root) << '\n';
+  return r.PacketsAfterWithdrawal + r.RunsOverLimit + r.FalseRefusals +
+                     r.MixedAnswers + r.SlotsOverLimit ==
+                 0
+             ? 0
+             : 1;
+}
+
+} // namespace boragebridge::bench
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -5,7 +5,9 @@
 
 namespace boragebridge::bench {
 
+auto runDeparture(int argc, char **argv) -> int;
 auto runReport(int argc, char **argv) -> int;
+auto runRequests(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -13,6 +13,9 @@
 }
 
 static constexpr std::array Experiments{
+    Experiment{"departure", "a data centre leaves and returns", runDeparture},
+    Experiment{"requests", "at most once and goodput under faults",
+               runRequests},
     Experiment{"report", "write a page from the outputs of experiments",
                runReport},
     Experiment{"--version", "print the version", runVersion},
--- /dev/null
+++ b/bench/requests.cpp
@@ -0,0 +1,344 @@
+#include "blind_forwarder.h"
+#include "experiments.h"
+#include "request_load.h"
+
+#include <cxxopts.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+namespace boragebridge::bench {
+
+namespace {
+
+using fakes::RequestWorld;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration SteadyTime = seconds(4);
+constexpr Duration FaultTime = seconds(12);
+constexpr Duration RecoveryTime = seconds(10);
+constexpr Duration DrainTime = seconds(6);
+constexpr Duration LoadStep = milliseconds(5);
+/// Share of capacity that patient callers ask for all the time.
+constexpr double BaseLoad = 0.6;
+/// Requests that impatient callers keep in progress, per slot.
+constexpr double StormPerSlot = 4;
+constexpr std::size_t PatientCallers = 40;
+constexpr std::size_t StormCallers = 40;
+
+/// The faults of one scenario, as they come about.
+class Faults {
+public:
+  Faults(RequestWorld &world, std::string scenario, std::uint64_t seed)
+      : World(world), Scenario(std::move(scenario)), Random(seed),
+        Next(world.now()) {}
+
+  auto tick() -> void {
+    runDue();
+    if (World.now() < Next)
+      return;
+    Next = World.now() + Random.jitter(seconds(3));
+    apply(Scenario);
+  }
+
+  /// Ends every fault at once.
+  auto end() -> void {
+    Next = TimePoint::max();
+    while (!Due.empty()) {
+      auto f = std::move(Due.begin()->second);
+      Due.erase(Due.begin());
+      f();
+    }
+  }
+
+private:
+  auto apply(const std::string &kind) -> void {
+    static const std::map<std::string_view, void (Faults::*)()> Kinds{
+        {"kill", &Faults::kill},           {"pause", &Faults::pause},
+        {"partition", &Faults::partition}, {"stop", &Faults::stop},
+        {"host", &Faults::breakHost},      {"mixed", &Faults::any},
+    };
+    auto it = Kinds.find(kind);
+    if (it != Kinds.end())
+      (this->*it->second)();
+  }
+
+  auto any() -> void {
+    static constexpr std::array<const char *, 5> Kinds{
+        "kill", "pause", "partition", "stop", "host"};
+    apply(Kinds[Random.below(Kinds.size())]);
+  }
+
+  auto kill() -> void {
+    const auto name = pick();
+    if (name.empty())
+      return;
+    World.kill(name);
+    later(Random.jitter(seconds(2)), [this, name] { World.restart(name); });
+  }
+
+  auto pause() -> void {
+    const auto name = pick();
+    if (name.empty())
+      return;
+    World.setPaused(name, true);
+    later(Random.jitter(seconds(4)), [this, name] {
+      if (World.fleet().isRunning(name))
+        World.setPaused(name, false);
+    });
+  }
+
+  auto partition() -> void {
+    const auto &all = World.configuration().DataCentres;
+    const auto alone = all[Random.below(all.size())].Name;
+    for (const auto &dc : all)
+      if (dc.Name != alone)
+        World.setCut(alone, dc.Name, true);
+    later(Random.jitter(seconds(5)), [this, alone] {
+      for (const auto &dc : World.configuration().DataCentres)
+        if (dc.Name != alone)
+          World.setCut(alone, dc.Name, false);
+    });
+  }
+
+  /// A planned stop; the instance comes back as another incarnation.
+  auto stop() -> void {
+    const auto name = pick();
+    if (name.empty())
+      return;
+    World.beginStop(name);
+    waitForStop(name);
+  }
+
+  auto waitForStop(const std::string &name) -> void {
+    later(milliseconds(200), [this, name] {
+      if (World.fleet().isRunning(name) && Next != TimePoint::max())
+        waitForStop(name);
+      else if (!World.fleet().isRunning(name))
+        World.restart(name);
+    });
+  }
+
+  auto breakHost() -> void {
+    const auto n = Random.below(World.hostCount());
+    auto &h = World.host(n);
+    if (Random.below(2) == 0) {
+      h.turnCold(World.now());
+      return;
+    }
+    h.kill(World.now());
+    later(Random.jitter(seconds(3)),
+          [this, n] { World.host(n).restart(World.now()); });
+  }
+
+  auto pick() -> std::string {
+    std::vector<std::string> usable;
+    for (const auto &name : World.instanceNames())
+      if (World.isUsable(name))
+        usable.push_back(name);
+    if (usable.size() < 3)
+      return {};
+    return usable[Random.below(usable.size())];
+  }
+
+  auto later(Duration d, std::function<void()> f) -> void {
+    Due.emplace(World.now() + d, std::move(f));
+  }
+
+  auto runDue() -> void {
+    while (!Due.empty() && Due.begin()->first <= World.now()) {
+      auto f = std::move(Due.begin()->second);
+      Due.erase(Due.begin());
+      f();
+    }
+  }
+
+  RequestWorld &World;
+  std::string Scenario;
+  SeededRandom Random;
+  TimePoint Next;
+  std::multimap<TimePoint, std::function<void()>> Due;
+};
+
+struct Figures {
+  fakes::WorldReport Report;
+  double Goodput = 0;
+  double UploadAnsweredShare = 0;
+  double OfferedOverCapacity = 0;
+  double OwnRetryShare = 0;
+  double RecoverySeconds = 0;
+  double P50 = 0;
+  double P99 = 0;
+  double P999 = 0;
+  /// Unknown outcomes whose request had run and been answered.
+  std::uint64_t UnknownThatRan = 0;
+};
+
+/// Seconds after \p from until every second of patient load is answered to
+/// 95% again.
+auto findRecovery(const RequestWorld &w, const std::vector<std::uint64_t> &ids,
+                  TimePoint from, TimePoint to) -> double {
+  constexpr double Enough = 0.95;
+  double recovered = 0;
+  for (auto at = from; at + seconds(1) <= to; at += seconds(1)) {
+    std::size_t submitted = 0;
+    std::size_t answered = 0;
+    for (auto id : ids) {
+      const auto &r = w.requests()[id];
+      if (r.Submitted < at || r.Submitted >= at + seconds(1))
+        continue;
+      ++submitted;
+      answered += r.Kind == OutcomeKind::Answered && r.IsEnded ? 1 : 0;
+    }
+    if (static_cast<double>(answered) < Enough * static_cast<double>(submitted))
+      recovered = std::chrono::duration<double>(at + seconds(1) - from).count();
+  }
+  return recovered;
+}
+
+auto answeredShare(const RequestWorld &w, const std::vector<std::uint64_t> &ids,
+                   TimePoint from, TimePoint to) -> double {
+  double submitted = 0;
+  double answered = 0;
+  for (auto id : ids) {
+    const auto &r = w.requests()[id];
+    if (r.Submitted < from || r.Submitted >= to)
+      continue;
+    ++submitted;
+    answered += r.Kind == OutcomeKind::Answered && r.IsEnded ? 1 : 0;
+  }
+  return submitted == 0 ? 1 : answered / submitted;
+}
+
+auto runScenario(const std::string &scenario, std::uint64_t seed, bool blind)
+    -> Figures {
+  auto opt = deploymentOptions("cenacolo", seed);
+  opt.Callers = PatientCallers + StormCallers;
+  const auto isStorm = scenario == "storm";
+  if (isStorm) {
+    opt.CallerOptions.HonourRetryAfter = false;
+    opt.CallerOptions.Retransmit = milliseconds(20);
+    opt.CallerOptions.RetransmitMax = milliseconds(20);
+  }
+  if (blind)
+    opt.Make = makeBlindForwarder;
+  RequestWorld w(opt);
+  const auto booking = RequestWorld::booking();
+  const auto uploads = RequestWorld::uploads();
+  OpenLoad patient(w, booking, 0, PatientCallers, seed + 1);
+  OpenLoad upload(w, uploads, 0, PatientCallers, seed + 2);
+  ClosedLoad storm(w, booking, PatientCallers, StormCallers);
+  auto runFor = [&](Duration d, auto each) {
+    const auto end = w.now() + d;
+    while (w.now() < end) {
+      each();
+      patient.tick();
+      upload.tick();
+      storm.tick();
+      w.run(LoadStep);
+    }
+  };
+  auto nothing = [] {};
+  w.run(RequestWorld::WarmUp);
+  patient.setRate(BaseLoad * w.capacity(booking));
+  upload.setRate(BaseLoad * w.capacity(uploads));
+  runFor(SteadyTime, nothing);
+
+  const auto faultsFrom = w.now();
+  const auto packets = w.counter("request_packets_total");
+  const auto slots = w.capacity(booking) * 0.2;
+  if (isStorm)
+    storm.setInProgress(static_cast<std::size_t>(slots * StormPerSlot));
+  Faults faults(w, scenario, seed + 3);
+  runFor(FaultTime, [&] { faults.tick(); });
+  const auto faultsTo = w.now();
+  const auto offered = w.counter("request_packets_total") - packets;
+  storm.setInProgress(0);
+  faults.end();
+  runFor(RecoveryTime, nothing);
+  const auto recoveryTo = w.now();
+  patient.setRate(0);
+  upload.setRate(0);
+  runFor(DrainTime, nothing);
+
+  Figures f;
+  f.Report = w.report();
+  const auto time = std::chrono::duration<double>(FaultTime).count();
+  const auto capacity = w.capacity(booking);
+  f.Goodput = answeredPerSecond(w, booking, faultsFrom, faultsTo) / capacity;
+  f.OfferedOverCapacity = static_cast<double>(offered) / time / capacity;
+  f.UploadAnsweredShare =
+      answeredShare(w, upload.submitted(), faultsFrom, faultsTo);
+  const auto executes = w.counter("request_executes_total");
+  f.OwnRetryShare =
+      static_cast<double>(w.counter("request_own_retries_total")) /
+      static_cast<double>(std::max<std::uint64_t>(1, executes));
+  f.RecoverySeconds =
+      findRecovery(w, patient.submitted(), faultsTo, recoveryTo);
+  f.P50 = latencyQuantile(w, faultsFrom, faultsTo, 0.5);
+  f.P99 = latencyQuantile(w, faultsFrom, faultsTo, 0.99);
+  f.P999 = latencyQuantile(w, faultsFrom, faultsTo, 0.999);
+  for (const auto &r : w.requests())
+    f.UnknownThatRan +=
+        r.IsEnded && r.Kind == OutcomeKind::Unknown && r.Runs > 0 ? 1 : 0;
+  return f;
+}
+
+auto toJson(const Figures &f) -> boost::json::object {
+  return {{"runs_over_limit", f.Report.RunsOverLimit},
+          {"false_refusals", f.Report.FalseRefusals},
+          {"mixed_answers", f.Report.MixedAnswers},
+          {"slots_over_limit", f.Report.SlotsOverLimit},
+          {"cold_over_limit", f.Report.ColdOverLimit},
+          {"submitted", f.Report.Submitted},
+          {"answered", f.Report.Answered},
+          {"refused", f.Report.Refused},
+          {"unknown", f.Report.Unknown},
+          {"unknown_that_ran", f.UnknownThatRan},
+          {"already_run", f.Report.AlreadyRun},
+          {"offered_over_capacity", f.OfferedOverCapacity},
+          {"goodput_over_capacity", f.Goodput},
+          {"upload_answered_share", f.UploadAnsweredShare},
+          {"own_retry_share", f.OwnRetryShare},
+          {"recovery_seconds", f.RecoverySeconds},
+          {"latency_p50_ms", f.P50},
+          {"latency_p99_ms", f.P99},
+          {"latency_p999_ms", f.P999}};
+}
+
+} // namespace
+
+auto runRequests(int argc, char **argv) -> int {
+  cxxopts::Options options("boragebench requests",
+                           "At most once, refusals and goodput under faults");
+  options.add_options()("seed", "Seed of the run",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "scenario", "storm, kill, pause, partition, stop or mixed",
+      cxxopts::value<std::string>()->default_value("mixed"))(
+      "no-baseline",
+      "Leave out the blindly forwarding baseline")("help", "Show the options");
+  const auto args = options.parse(argc, argv);
+  if (args.count("help") != 0) {
+    std::cout << options.help();
+    return 0;
+  }
+  const auto scenario = args["scenario"].as<std::string>();
+  const auto seed = args["seed"].as<std::uint64_t>();
+  const auto f = runScenario(scenario, seed, false);
+  auto root = toJson(f);
+  root["experiment"] = "requests";
+  root["scenario"] = scenario;
+  root["seed"] = seed;
+  if (args.count("no-baseline") == 0)
+    root["baseline"] = toJson(runScenario(scenario, seed, true));
+  std::cout << boost::json::serialize(root) << '\n';
+  const auto &r = f.Report;
+  return r.RunsOverLimit + r.FalseRefusals + r.MixedAnswers +
+                     r.SlotsOverLimit ==
+                 0
+             ? 0
+             : 1;
+}
+
+} // namespace boragebridge::bench
--- a/include/boragebridge/caller.h
+++ b/include/boragebridge/caller.h
@@ -19,8 +19,9 @@
 #include "boragebridge/packet.h"
 #include "boragebridge/random.h"
 
+#include <deque>
 #include <map>
-#include <memory>
+#include <unordered_set>
 #include <vector>
 
 namespace boragebridge {
@@ -47,7 +48,7 @@
 /// A request as the program describes it.
 struct RequestSpec {
   ServiceId Service{};
-  Bytes Body;
+  Bytes Body{};
   /// How long the program wants to wait for the outcome.
   Duration Deadline = std::chrono::seconds(3);
   /// True when running it more than once does no harm.
@@ -124,6 +125,7 @@
   auto send(Entry &e) -> void;
   auto stockTicket(std::uint64_t number, Bytes sealed) -> void;
   auto takeTicket(Entry &e) -> bool;
+  auto dropTicketsLike(const Bytes &sealed) -> void;
   auto serveWaiting() -> void;
   auto findNumber(std::uint64_t number) -> EntryIterator;
   auto onRefusal(EntryIterator it, Duration retryAfter) -> void;
@@ -140,7 +142,8 @@
   std::map<std::uint64_t, Entry> Entries;
   std::vector<Ticket> Tickets;
   /// Numbers of tickets seen of late; a copied reply brings none twice.
-  std::map<std::uint64_t, TimePoint> SeenNumbers;
+  std::unordered_set<std::uint64_t> SeenNumbers;
+  std::deque<std::uint64_t> SeenOrder;
   std::uint64_t NextHandle = 1;
   std::uint64_t Sent = 0;
 };
--- a/src/fakes/request_world.h
+++ b/src/fakes/request_world.h
@@ -78,8 +78,9 @@
   std::uint64_t FalseRefusals = 0;
   /// Answers that were not the caller's own, or not whole.
   std::uint64_t MixedAnswers = 0;
-  /// Arrivals at upstreams beyond their slots, cold ones included.
+  /// Arrivals at upstreams beyond their slots.
   std::uint64_t SlotsOverLimit = 0;
+  /// Arrivals at a cold upstream beyond the one that it bears.
   std::uint64_t ColdOverLimit = 0;
   std::uint64_t Misdelivered = 0;
   std::uint64_t PacketsAfterWithdrawal = 0;
@@ -165,7 +166,10 @@
   auto answer(Host &h, const ExecuteResult &r) -> void;
   auto onOutcome(CallerNode &c, RequestHandle h, const RequestOutcome &o)
       -> void;
-  auto keepCounters(const std::string &name) -> void;
+  auto noteCounters() -> void;
+  auto keepCountersOfStopped() -> void;
+  auto countersOf(const std::string &name)
+      -> std::map<std::string, std::uint64_t>;
 
   RequestWorldOptions Options;
   SeededRandom Random;
@@ -185,6 +189,7 @@
   std::set<Key> RefusedNumbers;
   std::uint64_t Mixed = 0;
   std::map<std::string, std::uint64_t> EndedCounters;
+  std::map<std::string, std::map<std::string, std::uint64_t>> LastCounters;
   TimePoint NextViews;
   TimePoint NextCallerTick;
 };
--- a/src/request/caller.cpp
+++ b/src/request/caller.cpp
@@ -2,6 +2,7 @@
 
 #include "request/answer.h"
 #include "request/messages.h"
+#include "request/ticket.h"
 
 #include <algorithm>
 
@@ -10,10 +11,13 @@
 namespace {
 
 /// How long a ticket is kept for use; well below the age that instances take.
-constexpr Duration TicketShelfLife = std::chrono::seconds(60);
+constexpr Duration TicketShelfLife = std::chrono::seconds(20);
+/// With less time than this left, no fresh try is made after a refusal.
+constexpr Duration MinUsefulTime = std::chrono::milliseconds(150);
 constexpr std::size_t MaxTickets = 16;
-/// Past this many seen numbers, new tickets are not stocked.
-constexpr std::size_t MaxSeenNumbers = 4096;
+/// Numbers remembered against copied replies; the oldest goes first. A copy
+/// that comes later still is told from a new request by the instance.
+constexpr std::size_t MaxSeenNumbers = 16384;
 
 auto toMilliseconds(Duration d) -> std::uint32_t {
   const auto ms = std::chrono::ceil<std::chrono::milliseconds>(d).count();
@@ -38,6 +42,8 @@
   Bytes Sealed;
   AnswerAssembler Answer;
   bool Cancelled = false;
+  /// Has asked for a ticket; a refused one waits out its time first.
+  bool Asking = false;
 };
 
 Caller::Caller(CallerId id, const FlowKey &flow, const Clock &time,
@@ -82,7 +88,7 @@
   e.Sealed.clear();
   e.Answer = {};
   e.Interval = Settings.Retransmit;
-  static_cast<void>(takeTicket(e));
+  e.Asking = !takeTicket(e);
   send(e);
 }
 
@@ -112,10 +118,14 @@
 }
 
 auto Caller::stockTicket(std::uint64_t number, Bytes sealed) -> void {
-  if (number == 0 || sealed.empty() || Tickets.size() >= MaxTickets ||
-      SeenNumbers.size() >= MaxSeenNumbers)
+  if (number == 0 || sealed.empty() || !SeenNumbers.insert(number).second)
     return;
-  if (SeenNumbers.emplace(number, Time.now()).second)
+  SeenOrder.push_back(number);
+  if (SeenOrder.size() > MaxSeenNumbers) {
+    SeenNumbers.erase(SeenOrder.front());
+    SeenOrder.pop_front();
+  }
+  if (Tickets.size() < MaxTickets)
     Tickets.push_back({number, std::move(sealed), Time.now()});
 }
 
@@ -131,12 +141,23 @@
   return true;
 }
 
+/// The instance that issued \p sealed may be gone: its other tickets would
+/// bring no more than an unknown outcome.
+auto Caller::dropTicketsLike(const Bytes &sealed) -> void {
+  const auto gone = readTicket(sealed);
+  std::erase_if(Tickets, [&gone](const Ticket &t) {
+    const auto f = readTicket(t.Sealed);
+    return gone && f && f->Number == gone->Number;
+  });
+}
+
 /// Gives tickets to the requests that wait for one.
 auto Caller::serveWaiting() -> void {
   for (auto &[handle, e] : Entries) {
     if (Tickets.empty())
       return;
-    if (e.Number == 0 && !e.Cancelled && takeTicket(e)) {
+    if (e.Asking && takeTicket(e)) {
+      e.Asking = false;
       e.Interval = Settings.Retransmit;
       send(e);
     }
@@ -170,6 +191,7 @@
       onRefusal(it, std::chrono::milliseconds(m.retry_after_ms));
       break;
     case rw::Outcome::Unknown:
+      dropTicketsLike(e.Sealed);
       if (m.final)
         finish(it, {OutcomeKind::Unknown, {}, {}});
       break;
@@ -186,7 +208,7 @@
   auto &e = it->second;
   const auto next =
       Time.now() + (Settings.HonourRetryAfter ? retryAfter : Duration::zero());
-  if (!e.Spec.RetryRefusals || next >= e.Deadline)
+  if (!e.Spec.RetryRefusals || next + MinUsefulTime >= e.Deadline)
     return finish(it, {OutcomeKind::RefusedNotRun, {}, retryAfter});
   if (next == Time.now())
     return begin(e);
@@ -198,18 +220,19 @@
 
 auto Caller::tick() -> void {
   const auto now = Time.now();
-  std::erase_if(SeenNumbers, [now](const auto &v) {
-    return v.second + 2 * TicketShelfLife < now;
-  });
   for (auto it = Entries.begin(); it != Entries.end();) {
     auto at = it++;
     auto &e = at->second;
-    if (now >= e.Deadline)
+    if (now >= e.Deadline) {
       expire(at);
-    else if (now >= e.NextSend && e.Number == 0)
+      continue;
+    }
+    if (now >= e.NextSend && e.Number == 0)
       begin(e);
-    else if (now >= e.NextSend)
+    else if (now >= e.NextSend) {
+      dropTicketsLike(e.Sealed);
       send(e);
+    }
   }
 }
 
--- a/src/request/dispatcher.cpp
+++ b/src/request/dispatcher.cpp
@@ -134,6 +134,8 @@
 }
 
 auto Dispatcher::dispatch(ServiceId s, TimePoint now) -> void {
+  for (const auto &q : Queue.takeLate(s, now + Services[s].Typical))
+    refuse(q.Attempt);
   while (Queue.size(s) != 0) {
     const auto p = Slots.acquire(s, now);
     if (!p)
@@ -321,8 +323,6 @@
   }
   Slots.tick(now);
   for (const auto s : Queue.services()) {
-    for (const auto &q : Queue.takeLate(s, now + Services[s].Typical))
-      refuse(q.Attempt);
     dispatch(s, now);
     updateNeed(s, now);
   }
--- a/src/request/permit.h
+++ b/src/request/permit.h
@@ -38,7 +38,7 @@
 /// The times that the safety of loans rests on.
 struct PermitTerms {
   /// A loan may start work this long after its renewal was asked for.
-  static constexpr Duration Term = std::chrono::seconds(1);
+  static constexpr Duration Term = std::chrono::seconds(2);
   /// Longest deadline that is given to an upstream.
   static constexpr Duration MaxExecution = std::chrono::seconds(5);
   /// Travel time of packets and drift of clock rates, taken together.
--- a/src/request/permit_holder.cpp
+++ b/src/request/permit_holder.cpp
@@ -23,14 +23,14 @@
 }
 
 auto PermitHolder::acquire(TimePoint now) -> std::optional<SlotId> {
-  if (now >= ValidUntil)
-    return std::nullopt;
-  auto it = std::find_if(Loans.begin(), Loans.end(), [now](const Loan &l) {
-    return !l.Busy && l.RestUntil <= now;
+  expire(now);
+  auto it = std::find_if(Loans.begin(), Loans.end(), [&](const Loan &l) {
+    return !l.Busy && !isResting(l.Content.Slot.Upstream, now);
   });
   if (it == Loans.end())
     return std::nullopt;
   it->Busy = true;
+  it->BusyUntil = now + PermitTerms::MaxExecution + PermitTerms::Margin;
   return it->Content.Slot;
 }
 
@@ -41,8 +41,9 @@
   if (it == Loans.end())
     return;
   it->Busy = false;
-  it->RestUntil = restUntil;
-  if (it->Revoked) {
+  if (restUntil > RestUntil[slot.Upstream])
+    RestUntil[slot.Upstream] = restUntil;
+  if (it->Revoked || it->Expired) {
     Loans.erase(it);
     MustTell = true;
   }
@@ -63,9 +64,11 @@
 
 auto PermitHolder::makeDemand(TimePoint now, std::uint32_t wanted,
                               std::uint32_t load) -> PoolDemand {
+  expire(now);
   PoolDemand d{++Sequence, Seen, wanted, load, {}};
   for (const auto &l : Loans)
-    d.Held.push_back(l.Content);
+    if (!l.Expired || now < l.BusyUntil)
+      d.Held.push_back(l.Content);
   SentDemands.push_back({d.Sequence, now});
   if (SentDemands.size() > MaxSentDemands)
     SentDemands.pop_front();
@@ -81,6 +84,7 @@
     SentDemands.pop_front();
   if (SentDemands.empty() || SentDemands.front().Sequence != m.Sequence)
     return;
+  expire(now);
   ValidUntil = std::max(ValidUntil, SentDemands.front().At + PermitTerms::Term);
   Unmet = m.Unmet;
   Keep = m.Keep;
@@ -96,20 +100,33 @@
   for (const auto &loan : m.Loans) {
     highest = std::max(highest, loan.Grant);
     auto it = std::find_if(Loans.begin(), Loans.end(), [&](const Loan &l) {
-      return l.Content.Slot == loan.Slot;
+      return l.Content.Slot == loan.Slot && !l.Expired;
     });
     if (it != Loans.end())
       it->Content.Grant = loan.Grant;
     else if (loan.Grant > Seen && now < ValidUntil)
-      Loans.push_back({loan, false, false, {}});
+      Loans.push_back({loan, false, false, false, {}});
   }
   Seen = highest;
-  shrinkTo(Keep);
+}
+
+/// Ends the loans that were not renewed in time.
+auto PermitHolder::expire(TimePoint now) -> void {
+  if (now < ValidUntil)
+    return;
+  MustTell |= std::erase_if(Loans, [](const Loan &l) { return !l.Busy; }) > 0;
+  for (auto &l : Loans)
+    l.Expired = true;
+}
+
+auto PermitHolder::isResting(UpstreamId id, TimePoint now) const -> bool {
+  auto it = RestUntil.find(id);
+  return it != RestUntil.end() && now < it->second;
 }
 
 auto PermitHolder::tick(TimePoint now) -> bool {
-  if (now >= ValidUntil)
-    MustTell |= std::erase_if(Loans, [](const Loan &l) { return !l.Busy; }) > 0;
+  expire(now);
+  shrinkTo(Keep);
   return MustTell;
 }
 
--- a/src/request/permit_holder.h
+++ b/src/request/permit_holder.h
@@ -50,7 +50,10 @@
     bool Busy = false;
     /// Not to be used again when the work under it ends.
     bool Revoked = false;
-    TimePoint RestUntil;
+    /// Ran out while busy: reported as held while its work may go on, and not
+    /// to be used again.
+    bool Expired = false;
+    TimePoint BusyUntil;
   };
   struct SentDemand {
     std::uint64_t Sequence;
@@ -58,9 +61,13 @@
   };
 
   auto shrinkTo(std::uint32_t keep) -> void;
+  auto expire(TimePoint now) -> void;
+  auto isResting(UpstreamId id, TimePoint now) const -> bool;
 
   std::optional<HolderId> Keeper;
   std::vector<Loan> Loans;
+  /// Upstreams that refused of late.
+  std::map<UpstreamId, TimePoint> RestUntil;
   std::deque<SentDemand> SentDemands;
   std::uint64_t Sequence = 0;
   std::uint64_t Seen = 0;
--- a/src/request/permit_keeper.cpp
+++ b/src/request/permit_keeper.cpp
@@ -4,15 +4,15 @@
 
 namespace boragebridge {
 
-PermitKeeper::PermitKeeper(TimePoint now)
-    : WithheldUntil(now + PermitTerms::ReclaimAfter) {}
+PermitKeeper::PermitKeeper(TimePoint now, std::uint64_t firstGrant)
+    : WithheldUntil(now + PermitTerms::ReclaimAfter), NextGrant(firstGrant) {}
 
 auto PermitKeeper::setLimits(const std::vector<SlotLimit> &limits) -> void {
   Limits.clear();
   for (const auto &it : limits) {
     Limits[it.Upstream] = it;
     for (std::uint32_t n = 0; n < it.Allowed; ++n)
-      Slots.try_emplace({it.Upstream, n}, Slot{{}, 0, WithheldUntil});
+      Slots.try_emplace({it.Upstream, n}, Slot{{}, 0, WithheldUntil, {}});
   }
 }
 
@@ -34,7 +34,7 @@
   h.LastHeard = now;
   h.Changed = true;
   settleReturns(from, d, now);
-  adopt(from, h, d);
+  adopt(from, h, d, now);
   return true;
 }
 
@@ -61,16 +61,19 @@
   }
 }
 
-/// Takes over loans that an earlier keeper made.
-auto PermitKeeper::adopt(const HolderId &from, Holder &h, const PoolDemand &d)
-    -> void {
+/// Takes over loans that an earlier keeper made. A slot that another holder is
+/// on record for has two users: it is not lent anew before both have ended.
+auto PermitKeeper::adopt(const HolderId &from, Holder &h, const PoolDemand &d,
+                         TimePoint now) -> void {
   for (const auto &loan : d.Held) {
-    auto &s =
-        Slots.try_emplace(loan.Slot, Slot{{}, 0, WithheldUntil}).first->second;
+    auto &s = Slots.try_emplace(loan.Slot, Slot{{}, 0, WithheldUntil, {}})
+                  .first->second;
+    if (s.Holder && s.Holder != from)
+      s.ContestedUntil = now + PermitTerms::ReclaimAfter;
     if (s.Holder)
       continue;
     s.Holder = from;
-    s.Grant = NextGrant++;
+    s.Grant = 0;
     ++h.Lent;
   }
 }
@@ -78,7 +81,7 @@
 auto PermitKeeper::release(Slot &s, TimePoint freeAt) -> void {
   --Holders.at(*s.Holder).Lent;
   s.Holder.reset();
-  s.FreeAt = freeAt;
+  s.FreeAt = std::max(freeAt, s.ContestedUntil);
 }
 
 auto PermitKeeper::dropHolder(const HolderId &id, TimePoint freeAt) -> void {
@@ -93,7 +96,7 @@
   for (const auto &id : slots) {
     auto &s = Slots.try_emplace(id).first->second;
     if (!s.Holder)
-      s.FreeAt = now;
+      s.FreeAt = std::max(now, s.ContestedUntil);
   }
 }
 
@@ -188,12 +191,16 @@
   std::uint32_t wantedLocally = 0;
   std::uint64_t load = 0;
   std::uint64_t lent = 0;
+  std::uint64_t localLoad = 0;
   for (const auto &[id, it] : Holders) {
     wanted += it.Wanted;
     wantedLocally += it.Local ? it.Wanted : 0;
     load += it.Load;
+    localLoad += it.Local ? it.Load : 0;
     lent += it.Lent;
   }
+  if (wantedLocally > 0)
+    load = localLoad;
   if (wanted == 0)
     return h.Lent;
   if (wantedLocally > 0 && !h.Local)
--- a/src/request/permit_keeper.h
+++ b/src/request/permit_keeper.h
@@ -31,7 +31,8 @@
 /// thread-safe.
 class PermitKeeper {
 public:
-  explicit PermitKeeper(TimePoint now);
+  /// \p firstGrant is above every grant of this instance's earlier tenures.
+  explicit PermitKeeper(TimePoint now, std::uint64_t firstGrant = 1);
 
   /// Replaces the upstreams and their limits. An upstream that is left out
   /// gets no new loans; its slots are remembered until they are back.
@@ -55,9 +56,12 @@
 private:
   struct Slot {
     std::optional<HolderId> Holder;
+    /// 0: adopted, so that its holder knows of it.
     std::uint64_t Grant = 0;
     /// Without a holder: withheld until then.
     TimePoint FreeAt;
+    /// Two holders claimed it: not to be lent anew before.
+    TimePoint ContestedUntil{};
   };
   struct Holder {
     bool Local = false;
@@ -74,7 +78,8 @@
       -> std::uint32_t;
   auto settleReturns(const HolderId &from, const PoolDemand &d, TimePoint now)
       -> void;
-  auto adopt(const HolderId &from, Holder &h, const PoolDemand &d) -> void;
+  auto adopt(const HolderId &from, Holder &h, const PoolDemand &d,
+             TimePoint now) -> void;
   auto dropHolder(const HolderId &id, TimePoint freeAt) -> void;
   auto release(Slot &s, TimePoint freeAt) -> void;
   auto reclaim(TimePoint now) -> void;
@@ -83,7 +88,7 @@
   auto keepFor(const Holder &h) const -> std::uint32_t;
 
   TimePoint WithheldUntil;
-  std::uint64_t NextGrant = 1;
+  std::uint64_t NextGrant;
   std::map<UpstreamId, SlotLimit> Limits;
   std::map<SlotId, Slot> Slots;
   std::map<HolderId, Holder> Holders;
--- a/src/request/pools.cpp
+++ b/src/request/pools.cpp
@@ -14,7 +14,7 @@
 /// A changed need is told at most this often.
 constexpr Duration DemandGap = std::chrono::milliseconds(20);
 /// A keeper stays silent this long after another's claim.
-constexpr Duration YieldTime = PermitTerms::Term;
+constexpr Duration YieldTime = std::chrono::seconds(1);
 constexpr int HandOverRepeats = 12;
 constexpr std::size_t MaxTakenHandOvers = 4096;
 
@@ -87,7 +87,7 @@
 auto Pools::noteActivity(TimePoint now) -> void {
   if (LastActive != TimePoint{} && now - LastActive > PermitTerms::PauseGap) {
     for (auto &[id, keeper] : Keepers) {
-      keeper = PermitKeeper(now);
+      keeper = newKeeper(now);
       keeper.setLimits(Tables[id].Limits);
     }
     HandOvers.clear();
@@ -156,7 +156,7 @@
                       elected->Number == Ctx.Self.Number;
   const auto yields = YieldUntil.contains(id) && now < YieldUntil.at(id);
   if (isSelf && !yields)
-    Keepers.try_emplace(id, now).first->second.setLimits(Tables[id].Limits);
+    keep(id, now);
   else if (Keepers.contains(id) && !isSelf)
     stopKeeping(id, elected, now);
   auto it = Holders.find(id);
@@ -170,6 +170,21 @@
   it->second.KeeperAddress = elected->PeerAddress;
 }
 
+auto Pools::keep(const PoolId &id, TimePoint now) -> void {
+  auto it = Keepers.find(id);
+  if (it == Keepers.end())
+    it = Keepers.emplace(id, newKeeper(now)).first;
+  it->second.setLimits(Tables[id].Limits);
+}
+
+/// Holders tell new loans from old ones by the number of the grant, over all
+/// the times that this instance was keeper.
+auto Pools::newKeeper(TimePoint now) -> PermitKeeper {
+  constexpr std::uint64_t GrantsPerTenure = 1ULL << 32U;
+  GrantBase += GrantsPerTenure;
+  return PermitKeeper(now, GrantBase);
+}
+
 auto Pools::stopKeeping(const PoolId &id, const Member *next, TimePoint now)
     -> void {
   if (next != nullptr) {
@@ -276,9 +291,10 @@
       follow(id, now);
     auto &h = it->second;
     const auto wanted = wantedFrom(id);
-    if (wanted == 0 || (h.AskedFor >= wanted && h.AskedFor > 0))
+    const auto mustTell = h.Holder.tick(now);
+    if (!mustTell && (wanted == 0 || (h.AskedFor >= wanted && h.AskedFor > 0)))
       continue;
-    if (h.AskedFor == 0 || now - h.LastDemand >= DemandGap)
+    if (mustTell || h.AskedFor == 0 || now - h.LastDemand >= DemandGap)
       demand(id, h, now);
   }
 }
--- a/src/request/pools.h
+++ b/src/request/pools.h
@@ -73,6 +73,8 @@
   auto buildTables() -> void;
   auto electKeeper(const PoolId &id) const -> const Member *;
   auto follow(const PoolId &id, TimePoint now) -> void;
+  auto keep(const PoolId &id, TimePoint now) -> void;
+  auto newKeeper(TimePoint now) -> PermitKeeper;
   auto stopKeeping(const PoolId &id, const Member *next, TimePoint now) -> void;
   auto sendClaims(TimePoint now) -> void;
   auto sendHandOvers(TimePoint now) -> void;
@@ -102,6 +104,7 @@
   /// Hand-overs taken, so that a copy is not taken again.
   std::map<std::pair<Incarnation, PoolId>, std::uint64_t> TakenHandOvers;
   std::uint64_t Tenure = 0;
+  std::uint64_t GrantBase = 0;
   std::uint64_t ConfigurationVersion = UINT64_MAX;
   std::uint64_t MembershipVersion = UINT64_MAX;
   std::uint64_t HealthVersion = UINT64_MAX;
