--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -12,6 +12,9 @@
 auto runReport(int argc, char **argv) -> int;
 auto runSlopes(int argc, char **argv) -> int;
 auto runLoad(int argc, char **argv) -> int;
+auto runDeparture(int argc, char **argv) -> int;
+auto runReport(int argc, char **argv) -> int;
+auto runRequests(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
 
