--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -10,6 +10,8 @@
 auto runReport(int argc, char **argv) -> int;
 auto runSlopes(int argc, char **argv) -> int;
 auto runLoad(int argc, char **argv) -> int;
+auto runConfig(int argc, char **argv) -> int;
+auto runMembership(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
 
--- a/src/core/default_controllers.cpp
+++ b/src/core/default_controllers.cpp
@@ -1,7 +1,5 @@
 #include "boragebridge/instance.h"
 
-#include "flow/flow_controller.h"
-#include "health/health_controller.h"
 #include "config/configuration_controller.h"
 #include "flow/flow_controller.h"
 #include "health/health_controller.h"
