--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -15,6 +15,8 @@
 auto runDeparture(int argc, char **argv) -> int;
 auto runReport(int argc, char **argv) -> int;
 auto runRequests(int argc, char **argv) -> int;
+auto runConfig(int argc, char **argv) -> int;
+auto runMembership(int argc, char **argv) -> int;
 
 } // namespace boragebridge::bench
 
