--- a/bench/load_flows.cpp
+++ b/bench/load_flows.cpp
@@ -21,13 +21,20 @@
   f.Fabric = Options.Fabrics[Random.below(Options.Fabrics.size())];
   f.NextSend = now;
   f.LastHeard = now;
-  f.EndsAt = Random.unit() < Options.ShortShare
-                 ? now + Random.jitter(Options.ShortLife)
-                 : TimePoint::max();
+  if (needsShortFlow())
+    f.EndsAt = now + Random.jitter(Options.ShortLife);
   ++m.Opened;
   Flows.emplace(f.Key.Caller, std::move(f));
 }
 
+auto FlowLoad::needsShortFlow() const -> bool {
+  const auto n = std::count_if(Flows.begin(), Flows.end(), [](const auto &it) {
+    return it.second.EndsAt != TimePoint::max();
+  });
+  return static_cast<double>(n) <
+         Options.ShortShare * static_cast<double>(Flows.size() + 1);
+}
+
 auto FlowLoad::sendNext(Flow &f, FlowMeasures &m) -> void {
   Packet p{PacketKind::FlowData, f.Key, Bytes(16)};
   if (f.Upstream.empty())
--- a/bench/load_flows.h
+++ b/bench/load_flows.h
@@ -31,7 +31,7 @@
   Duration Interval = std::chrono::milliseconds(250);
   /// A flow that hears nothing for this long is broken.
   Duration SilenceLimit = std::chrono::seconds(5);
-  /// Share of flows that end by themselves after about ShortLife.
+  /// Share of the open flows that end by themselves after about ShortLife.
   double ShortShare = 0.3;
   Duration ShortLife = std::chrono::seconds(8);
   std::vector<LoadService> Services;
@@ -65,10 +65,12 @@
     std::uint64_t NextNumber = 0;
     TimePoint NextSend;
     TimePoint LastHeard;
-    TimePoint EndsAt;
+    TimePoint EndsAt = TimePoint::max();
   };
 
   auto open(FlowMeasures &m) -> void;
+  /// True while fewer flows than wanted end by themselves.
+  auto needsShortFlow() const -> bool;
   auto sendNext(Flow &f, FlowMeasures &m) -> void;
   auto step(Flow &f, TimePoint now, FlowMeasures &m) -> bool;
   auto isGivenUp(const Flow &f) const -> bool;
