--- a/src/flow/flow_controller.cpp
+++ b/src/flow/flow_controller.cpp
@@ -20,6 +20,9 @@
       DecidedPackets(ctx.Metrics.counter(
           "flow_packets_decided_total",
           "Packets of unsettled slots decided by this instance")),
+      CachedPackets(ctx.Metrics.counter(
+          "flow_packets_cached_total",
+          "Packets of unsettled slots forwarded by a cached decision")),
       RelayedPackets(
           ctx.Metrics.counter("flow_packets_relayed_total",
                               "Packets relayed to the instance that decides")),
@@ -43,7 +46,8 @@
   if (SeenMembership == Context.Board.Membership.version())
     return;
   SeenMembership = Context.Board.Membership.version();
-  Members.update(*Context.Board.Membership.read(), Stopping);
+  Members.update(*Context.Board.Membership.read(), Stopping,
+                 Context.Time.now());
 }
 
 auto FlowController::tick(TimePoint now) -> void {
@@ -101,7 +105,7 @@
   }
   const auto h = hashFlow(p.Flow);
   const auto *t = Agreement.isCurrent() ? settledTargetOf(*e, h) : nullptr;
-  if (t != nullptr) {
+  if (t != nullptr && t->Use != TargetUse::Unknown) {
     SettledPackets.add();
     forward(*t, p, FlowHash{h}, now);
     return;
@@ -117,7 +121,19 @@
   if (owners.Home.Id == Context.Self.Id)
     decideHere(fp, now);
   else
-    relay(owners.Home, fp, 1);
+    decideElsewhere(fp, owners.Home, now);
+}
+
+auto FlowController::decideElsewhere(const FlowPacket &p, const Peer &home,
+                                     TimePoint now) -> void {
+  const auto upstream = Home.cached(p, now);
+  const auto t = Directory.target(p.Entry.Service, upstream);
+  if (upstream == UpstreamId{} || t.Use == TargetUse::Unknown) {
+    relay(home, p, 1);
+    return;
+  }
+  CachedPackets.add();
+  forward(t, p.Content, p.Flow, now);
 }
 
 auto FlowController::passOn(const FlowPacket &p) -> void {
@@ -175,6 +191,8 @@
     return true;
   }
   fp.Slot = e->Placement->slotOf(h);
+  if (m.Hops == 1 && m.Content.Kind == PacketKind::FlowData)
+    Home.noteRelayed(fp, {f.Sender, f.SenderAddress});
   decideHere(fp, now);
   return true;
 }
@@ -191,11 +209,26 @@
   }
   if (upstream == UpstreamId{})
     upstream = Home.decide(p, now);
+  const auto t = Directory.target(p.Entry.Service, upstream);
+  if (t.Use == TargetUse::Unknown) {
+    passToOwner(p);
+    return;
+  }
   DecidedPackets.add();
   if (p.Content.Kind == PacketKind::FlowClose ||
       p.Content.Kind == PacketKind::FlowReset)
     Home.onEnd(p.Flow, now);
-  forward(Directory.target(p.Entry.Service, upstream), p.Content, p.Flow, now);
+  forward(t, p.Content, p.Flow, now);
+}
+
+auto FlowController::passToOwner(const FlowPacket &p) -> void {
+  const auto owners = Members.owners(p.Entry.Service, p.Slot);
+  const auto &to =
+      owners.Home.Id == Context.Self.Id ? owners.Mirror : owners.Home;
+  if (to.Id == InstanceId{} || p.Hops >= LastHop)
+    DroppedPackets.add();
+  else
+    relay(to, p, LastHop);
 }
 
 auto FlowController::forward(const Target &t, const Packet &p, FlowHash h,
@@ -248,7 +281,7 @@
     return;
   Stopping = true;
   StopSince = Context.Time.now();
-  Members.update(*Context.Board.Membership.read(), true);
+  Members.update(*Context.Board.Membership.read(), true, StopSince);
   Home.beginHandOver();
 }
 
--- a/src/flow/record_table.h
+++ b/src/flow/record_table.h
@@ -19,6 +19,10 @@
   TimePoint LastHeard;
   /// When its opening packet was seen; none when it was known before.
   TimePoint Opened;
+  /// When a packet of it last went to its home; for a cached record.
+  TimePoint LastRelayed;
+  /// Packets of it that others have relayed here, up to the next hint.
+  std::uint8_t Relays = 0;
   /// The flow has ended; kept for packets that are still on the way.
   bool Closing = false;
 };
