--- a/src/scenario/system_world.h
+++ b/src/scenario/system_world.h
@@ -141,6 +141,8 @@
   std::vector<AcceptedChange> Accepted;
   std::optional<std::size_t> TrackedBeforeFault;
   std::set<std::pair<std::string, std::string>> Cuts;
+  /// Data centres that operators have taken out.
+  std::set<std::string> Withdrawn;
   TimePoint LastDisturbance;
   WorldCounts Counts;
   std::uint64_t NextChange = 1;
