--- a/src/flow/flow_home.cpp
+++ b/src/flow/flow_home.cpp
@@ -10,6 +10,8 @@
 /// repeated opening packet stands for the same flow.
 static constexpr auto ReorderLimit = std::chrono::seconds(1);
 static constexpr auto ReopenLimit = std::chrono::seconds(10);
+/// A cached record is used for this fraction of the idle limit.
+static constexpr auto CacheShare = 8;
 
 static auto slotKey(ServiceId service, std::uint32_t slot) -> std::uint64_t {
   return hashPair(raw(service), slot);
@@ -56,17 +58,50 @@
   return r->Upstream;
 }
 
+auto FlowHome::cached(const FlowPacket &p, TimePoint now) -> UpstreamId {
+  if (p.Content.Kind == PacketKind::FlowOpen) {
+    Records.erase(p.Flow);
+    return {};
+  }
+  auto *r = Records.find(p.Flow);
+  if (p.Content.Kind != PacketKind::FlowData || r == nullptr || r->Closing ||
+      r->Service != p.Entry.Service)
+    return {};
+  r->LastHeard = now;
+  if (now - r->LastRelayed >= Options.IdleLimit / CacheShare) {
+    r->LastRelayed = now;
+    return {};
+  }
+  return r->Upstream;
+}
+
+auto FlowHome::noteRelayed(const FlowPacket &p, const Peer &from) -> void {
+  constexpr std::uint8_t RelaysBeforeHint = 4;
+  auto *r = Records.find(p.Flow);
+  if (r == nullptr || ++r->Relays < RelaysBeforeHint || !Stream.hasRoom())
+    return;
+  r->Relays = 0;
+  Stream.push(from, p.Entry.Service, p.Flow, r->Upstream);
+}
+
 auto FlowHome::peerToAsk(const FlowPacket &p, TimePoint now) -> Peer {
   const auto owners = Members.owners(p.Entry.Service, p.Slot);
   const auto self = Context.Self.Id;
   if (owners.Home.Id != self)
     return Members.canBeAsked(owners.Home.Id) ? owners.Home : Peer{};
+  // Only what was unsettled before this instance became its home has records
+  // elsewhere, and only as long as a flow may be silent.
+  const auto since = Agreement.unsettledSince(p.Entry.Service);
+  const auto isInherited = [&](TimePoint change) {
+    return since && *since <= change && now - change < Options.IdleLimit;
+  };
   const auto former = Members.formerHome(p.Entry.Service, p.Slot);
-  if (former.Id != InstanceId{} && Members.canBeAsked(former.Id))
+  if (former.Id != InstanceId{} && isInherited(Members.changedAt()) &&
+      Members.canBeAsked(former.Id))
     return former;
   const auto synced = Agreement.syncedAt();
-  if (synced && now - *synced < Options.IdleLimit &&
-      owners.Mirror.Id != InstanceId{} && Members.canBeAsked(owners.Mirror.Id))
+  if (synced && isInherited(*synced) && owners.Mirror.Id != InstanceId{} &&
+      Members.canBeAsked(owners.Mirror.Id))
     return owners.Mirror;
   return {};
 }
@@ -171,6 +206,12 @@
   Trials.erase(h);
 }
 
+auto FlowHome::isHomeOf(ServiceId service, FlowHash h) -> bool {
+  const auto *p = Agreement.find(service);
+  return p != nullptr && p->isActive() &&
+         Members.owners(service, p->slotOf(raw(h))).Home.Id == Context.Self.Id;
+}
+
 auto FlowHome::onReset(FlowHash h, const Endpoint &from, TimePoint now)
     -> ResetOutcome {
   auto *t = Trials.find(h);
@@ -179,6 +220,12 @@
     if (r != nullptr &&
         Directory.target(r->Service, r->Upstream).Address != from)
       return {true, nullptr, {}};
+    // A cached record may be of an earlier flow with the same ports: only the
+    // home's word counts, at the caller's next packet.
+    if (r != nullptr && !isHomeOf(r->Service, h)) {
+      Records.erase(h);
+      return {true, nullptr, {}};
+    }
     onEnd(h, now);
     return {};
   }
@@ -220,6 +267,7 @@
     r.Service = m.Service;
     r.Upstream = it.Upstream;
     r.LastHeard = now;
+    r.LastRelayed = now;
     if (!Records.put(it.Flow, r))
       NotRecorded.add();
     else
@@ -246,29 +294,45 @@
     tickHandOver(now);
 }
 
-auto FlowHome::canSettle(const ServicePlacement &p, TimePoint now) const
-    -> bool {
-  const auto synced = Agreement.syncedAt();
+auto FlowHome::canSettle(const ServicePlacement &p) const -> bool {
   return p.isActive() && p.isNewestActive() &&
-         p.activeSince() + Options.IdleLimit <= PassStart &&
-         (!synced || *synced + Options.IdleLimit <= now);
+         p.activeSince() + Options.IdleLimit <= PassStart;
+}
+
+auto FlowHome::isOwnSlotReady(ServiceId service, std::uint32_t slot,
+                              TimePoint now) -> bool {
+  const auto key = slotKey(service, slot);
+  if (Members.owners(service, slot).Home.Id != Context.Self.Id) {
+    HomeSince.erase(key);
+    return false;
+  }
+  // A new home has heard of all flows only after the idle limit.
+  const auto since = HomeSince.try_emplace(key, now).first->second;
+  return now - since >= Options.IdleLimit && !LastForeign.contains(key);
 }
 
 auto FlowHome::settleSlots(TimePoint now) -> void {
-  if (!Agreement.isCurrent())
+  constexpr auto SettleInterval = std::chrono::seconds(1);
+  if (!Agreement.isCurrent() || now - LastSettle < SettleInterval)
     return;
-  std::vector<ServiceId> ready;
-  for (const auto &[service, p] : Agreement.placements())
-    if (!p.unsettledSlots().empty() && canSettle(p, now))
-      ready.push_back(service);
-  for (auto service : ready) {
-    std::vector<std::uint16_t> slots;
-    for (auto slot : Agreement.find(service)->unsettledSlots())
-      if (!LastForeign.contains(slotKey(service, slot)) &&
-          Members.owners(service, slot).Home.Id == Context.Self.Id)
-        slots.push_back(slot);
-    SettledSlots.add(slots.size());
-    Agreement.announceSettled(service, std::move(slots));
+  LastSettle = now;
+  if (SeenSync != Agreement.syncedAt())
+    HomeSince.clear();
+  SeenSync = Agreement.syncedAt();
+  std::vector<SettledMessage> settled;
+  for (const auto &[service, p] : Agreement.placements()) {
+    SettledMessage m{service, {}, {}};
+    for (auto slot : p.unsettledSlots())
+      if (isOwnSlotReady(service, slot, now) && canSettle(p))
+        m.Slots.push_back(slot);
+    if (!m.Slots.empty())
+      settled.push_back(std::move(m));
+  }
+  for (auto &m : settled) {
+    for (auto slot : m.Slots)
+      HomeSince.erase(slotKey(m.Service, slot));
+    SettledSlots.add(m.Slots.size());
+    Agreement.announceSettled(m.Service, std::move(m.Slots));
   }
 }
 
--- a/src/flow/record_stream.h
+++ b/src/flow/record_stream.h
@@ -26,6 +26,11 @@
   auto tick(TimePoint now) -> void;
   /// Sends with the budget of a planned stop from now on.
   auto hurry() -> void { Hurried = true; }
+  /// True when a record that is not needed for safety may be queued.
+  auto hasRoom() const -> bool {
+    constexpr std::size_t MostWaiting = 200;
+    return Queued < MostWaiting;
+  }
   auto isEmpty() const -> bool { return Queued == 0; }
 
 private:
--- a/test/flow/flow_scenarios_test.cpp
+++ b/test/flow/flow_scenarios_test.cpp
@@ -281,6 +281,29 @@
   BOOST_TEST(Misdelivered == 0);
 }
 
+BOOST_AUTO_TEST_CASE(CachedDecisionsSaveRelaysAndYieldToAReusedFlow) {
+  drain("u2");
+  run(seconds(15));
+  BOOST_TEST(counterSum("flow_packets_cached_total") > 0U);
+  // The same ports again: the old upstream must not get the new flow.
+  std::vector<FlowKey> keys;
+  for (const auto &[k, f] : Flows)
+    keys.push_back(k);
+  for (const auto &k : keys) {
+    send(k, PacketKind::FlowClose);
+    Flows[k].Closed = true;
+  }
+  run(seconds(2));
+  const auto before = Opens[upstream("u2").Address];
+  for (const auto &k : keys) {
+    Flows[k] = {};
+    send(k, PacketKind::FlowOpen);
+  }
+  run(seconds(10));
+  BOOST_TEST(Opens[upstream("u2").Address] == before);
+  settleAndCheck();
+}
+
 BOOST_AUTO_TEST_CASE(SilentFlowIsResetTowardsItsCaller) {
   const auto k = Flows.begin()->first;
   SilentFlows.insert(k);
