--- a/bench/chaos.cpp
+++ b/bench/chaos.cpp
@@ -28,11 +28,12 @@
   auto r = scenario::playChaos(opt, scenario::composeEvents(opt));
   const auto failed = !r.Breaches.empty();
   if (failed) {
-    std::cout << "broken: " << r.Breaches.front() << "; shortening\n";
+    std::cout << "broken: " << r.Breaches.front() << "; shortening"
+              << std::endl;
     r = scenario::shorten(opt, r, ShortenTries);
     std::cout << "events:\n";
     for (const auto &it : r.Events)
-      std::cout << "  - " << scenario::toString(it) << '\n';
+      std::cout << "  - " << scenario::toString(it) << std::endl;
   }
   boost::json::array breaches;
   for (const auto &it : r.Breaches)
--- a/bench/imbalance.cpp
+++ b/bench/imbalance.cpp
@@ -113,7 +113,8 @@
     if (n == Windows / 2)
       bench.turnCold();
     last = bench.run(WindowTime);
-    std::cout << "window " << n << ": max/mean " << last.MaxOverMean << '\n';
+    std::cout << "window " << n << ": max/mean " << last.MaxOverMean
+              << std::endl;
     overTime.push_back(last.MaxOverMean);
   }
   auto &world = bench.world();
