--- a/src/scenario/system_world.cpp
+++ b/src/scenario/system_world.cpp
@@ -210,7 +210,7 @@
   }
 }
 
-auto SystemWorld::submit(ChangeRequest r, std::function<void()> accepted)
+auto SystemWorld::submit(ChangeRequest r, const std::function<void()> &accepted)
     -> void {
   r.Id = "change-" + std::to_string(NextChange++);
   r.Actor = "operator";
@@ -237,10 +237,10 @@
 }
 
 auto SystemWorld::operate(std::vector<Operation> all,
-                          std::function<void()> accepted) -> void {
+                          const std::function<void()> &accepted) -> void {
   ChangeRequest r;
   r.Operations = std::move(all);
-  submit(std::move(r), std::move(accepted));
+  submit(std::move(r), accepted);
 }
 
 auto SystemWorld::checkRevisions() -> void {
--- a/src/scenario/system_world.h
+++ b/src/scenario/system_world.h
@@ -118,9 +118,9 @@
   auto noteFalls() -> void;
   auto hostIndex(const std::string &name) const -> std::size_t;
 
-  auto operate(std::vector<Operation> all, std::function<void()> accepted)
-      -> void;
-  auto submit(ChangeRequest r, std::function<void()> accepted) -> void;
+  auto operate(std::vector<Operation> all,
+               const std::function<void()> &accepted) -> void;
+  auto submit(ChangeRequest r, const std::function<void()> &accepted) -> void;
   auto checkRevisions() -> void;
   auto currentSheet() -> Sheet;
 
