--- a/src/scenario/system_world.h
+++ b/src/scenario/system_world.h
@@ -118,9 +118,9 @@
   auto noteFalls() -> void;
   auto hostIndex(const std::string &name) const -> std::size_t;
 
-  auto operate(std::vector<Operation> all, std::function<void()> accepted)
-      -> void;
-  auto submit(ChangeRequest r, std::function<void()> accepted) -> void;
+  auto operate(std::vector<Operation> all,
+               const std::function<void()> &accepted) -> void;
+  auto submit(ChangeRequest r, const std::function<void()> &accepted) -> void;
   auto checkRevisions() -> void;
   auto currentSheet() -> Sheet;
 
@@ -141,6 +141,8 @@
   std::vector<AcceptedChange> Accepted;
   std::optional<std::size_t> TrackedBeforeFault;
   std::set<std::pair<std::string, std::string>> Cuts;
+  /// Data centres that operators have taken out.
+  std::set<std::string> Withdrawn;
   TimePoint LastDisturbance;
   WorldCounts Counts;
   std::uint64_t NextChange = 1;
