Send the least sent news first in membership messages

Cause: at 512 instances the news of the start filled every message, and fresh suspicions waited behind it. Change: rumours are picked by how seldom they were sent, each goes out log2(n) times instead of three times that.

--- a/src/membership/membership_controller.cpp
+++ b/src/membership/membership_controller.cpp
@@ -318,18 +318,21 @@
 }
 
 /// Each rumour goes out a number of times that grows with the logarithm of
-/// the fleet, then rests; the digests find whoever missed it.
+/// the fleet, the least sent first, so that fresh news does not wait behind
+/// old; the digests find whoever missed it.
 auto MembershipController::attachRumours(MembershipMessage &m) -> void {
   const auto limit =
-      3U * static_cast<unsigned>(std::bit_width(Table.entries().size()));
-  auto n = std::min(RumoursPerMessage, Rumours.size());
-  for (; n > 0; --n) {
-    auto r = Rumours.front();
-    Rumours.pop_front();
-    m.Updates.push_back(r.News);
-    if (++r.Sends < limit)
-      Rumours.push_back(r);
+      static_cast<unsigned>(std::bit_width(Table.entries().size()));
+  const auto n = std::min(RumoursPerMessage, Rumours.size());
+  const auto end = Rumours.begin() + static_cast<std::ptrdiff_t>(n);
+  std::partial_sort(
+      Rumours.begin(), end, Rumours.end(),
+      [](const auto &a, const auto &b) { return a.Sends < b.Sends; });
+  for (auto it = Rumours.begin(); it != end; ++it) {
+    m.Updates.push_back(it->News);
+    ++it->Sends;
   }
+  std::erase_if(Rumours, [limit](const auto &r) { return r.Sends >= limit; });
 }
 
 auto MembershipController::send(const Endpoint &to, MembershipKind kind,
