Reserve the sockets of two transport tests

Change: reserve its known size. Result: both files compile; the suites were not run again after this.

--- a/test/net/http_server_test.cpp
+++ b/test/net/http_server_test.cpp
@@ -93,6 +93,7 @@
 
 BOOST_AUTO_TEST_CASE(ConnectionsOverTheLimitAreTurnedAway) {
   std::vector<tcp::socket> all;
+  all.reserve(4);
   for (int n = 0; n < 4; ++n)
     all.push_back(connect());
   BOOST_TEST(runUntil([&] { return Server->counts().TurnedAway == 1; }));
--- a/test/net/tcp_peer_link_test.cpp
+++ b/test/net/tcp_peer_link_test.cpp
@@ -184,6 +184,7 @@
   opt.MaxAccepted = 2;
   auto b = open(2, opt);
   std::vector<tcp::socket> all;
+  all.reserve(3);
   for (int n = 0; n < 3; ++n)
     all.push_back(connectTo(*b));
   BOOST_TEST(runUntil([&] { return b->counts().TurnedAway == 1; }));
