--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -54,13 +54,13 @@
 
 private:
   auto apply(const std::string &kind) -> void {
-    static const std::map<std::string_view, void (Faults::*)()> Kinds{
+    static const std::map<std::string_view, void (Faults::*)()> kinds{
         {"kill", &Faults::kill},           {"pause", &Faults::pause},
         {"partition", &Faults::partition}, {"stop", &Faults::stop},
         {"host", &Faults::breakHost},      {"mixed", &Faults::any},
     };
-    auto it = Kinds.find(kind);
-    if (it != Kinds.end())
+    auto it = kinds.find(kind);
+    if (it != kinds.end())
       (this->*it->second)();
   }
 
