Use one client of the platform's store; answer open changes in the daemon

Causes and changes: two HTTP clients of the store had been written; the one with TLS and tests stays. boragebridged never called AdministrationApi::tick(), so that a change whose fate stayed open got no answer. A planned stop that runs into stop_limit now says so (event 5003) in place of 'nothing was cut'. Weights of zero alone divided by zero in slotQuotas; none reaches it today.

--- a/bench/config.cpp
+++ b/bench/config.cpp
@@ -5,6 +5,7 @@
 #include <cxxopts.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 
 namespace boragebridge::bench {
@@ -227,7 +228,7 @@
     if (ToForce.empty())
       return 0;
     const auto n = static_cast<double>(ToForce.size() - 1);
-    return ToForce[static_cast<std::size_t>(q * n + 0.5)];
+    return ToForce[static_cast<std::size_t>(std::lround(q * n))];
   }
 
   auto report() -> int {
--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace boragebridge::bench {
@@ -111,7 +112,7 @@
           {"slots", slots},
           {"build_ms", 1e3 / rate},
           {"moved_when_one_leaves", moved},
-          {"least_possible", slots / upstreams}};
+          {"least_possible", slots / std::max<std::size_t>(upstreams, 1)}};
 }
 
 /// Time to see what changed in one service out of \p services, and to build
--- a/bench/flow_baselines.cpp
+++ b/bench/flow_baselines.cpp
@@ -25,6 +25,7 @@
             [](const auto &a, const auto &b) { return a.Id < b.Id; });
   auto table = buildSlotTable(cfg.Services.front().Id, all, Slots);
   std::vector<UpstreamId> upstreams;
+  upstreams.reserve(all.size());
   for (const auto &u : all)
     upstreams.push_back(u.Id);
   it.FormerTable = std::exchange(it.Table, std::move(table));
--- a/bench/flows.cpp
+++ b/bench/flows.cpp
@@ -48,14 +48,14 @@
 
   using Script = auto(FlowExperiment::*)() -> void;
   static auto scripts() -> const std::map<std::string, Script> & {
-    static const std::map<std::string, Script> All{
+    static const std::map<std::string, Script> all{
         {"rolling", &FlowExperiment::rolling},
         {"drain", &FlowExperiment::drain},
         {"reweight", &FlowExperiment::reweight},
         {"kill", &FlowExperiment::kill},
         {"pause", &FlowExperiment::pause},
         {"mixed", &FlowExperiment::mixed}};
-    return All;
+    return all;
   }
 
 private:
--- a/bench/load_requests.h
+++ b/bench/load_requests.h
@@ -7,6 +7,8 @@
 
 #include "boragebridge/caller.h"
 
+#include <memory>
+
 namespace boragebridge::bench {
 
 struct RequestLoadOptions {
--- a/src/config/change_writer.cpp
+++ b/src/config/change_writer.cpp
@@ -159,21 +159,22 @@
   }
   Now = Phase::Calling;
   const auto &w = ShardWrites.front();
-  Platform.put(w.Key, w.Text, 0, [this](absl::StatusOr<ObjectVersion> r) {
-    // Aborted: an earlier try of this write took effect.
-    if (r.ok() || absl::IsAborted(r.status())) {
-      ShardWrites.pop_front();
-      Now = Phase::Shards;
-      writeNextShard();
-      return;
-    }
-    if (Ctx.Time.now() - Queue.front().Begun > Settings.GiveUpAfter) {
-      retryUnreachable(r.status());
-      return;
-    }
-    Now = Phase::Shards;
-    RetryAt = Ctx.Time.now() + Ctx.Random.jitter(Settings.FirstRetry);
-  });
+  Platform.put(
+      w.Key, w.Text, 0, [this](const absl::StatusOr<ObjectVersion> &r) {
+        // Aborted: an earlier try of this write took effect.
+        if (r.ok() || absl::IsAborted(r.status())) {
+          ShardWrites.pop_front();
+          Now = Phase::Shards;
+          writeNextShard();
+          return;
+        }
+        if (Ctx.Time.now() - Queue.front().Begun > Settings.GiveUpAfter) {
+          retryUnreachable(r.status());
+          return;
+        }
+        Now = Phase::Shards;
+        RetryAt = Ctx.Time.now() + Ctx.Random.jitter(Settings.FirstRetry);
+      });
 }
 
 auto ChangeWriter::writeArchive() -> void {
@@ -186,16 +187,17 @@
                                          Stored.Log.begin() + ArchiveBatch);
   const auto key =
       std::string(ArchivePrefix) + std::to_string(raw(oldest.front().Number));
-  Platform.put(
-      key, encodeRecords(oldest), 0, [this](absl::StatusOr<ObjectVersion> r) {
-        if (!r.ok() && !absl::IsAborted(r.status())) {
-          retryUnreachable(r.status());
-          return;
-        }
-        // applyRecord() has dropped the first one already.
-        Next.Log.erase(Next.Log.begin(), Next.Log.begin() + ArchiveBatch - 1);
-        writeHead();
-      });
+  Platform.put(key, encodeRecords(oldest), 0,
+               [this](const absl::StatusOr<ObjectVersion> &r) {
+                 if (!r.ok() && !absl::IsAborted(r.status())) {
+                   retryUnreachable(r.status());
+                   return;
+                 }
+                 // applyRecord() has dropped the first one already.
+                 Next.Log.erase(Next.Log.begin(),
+                                Next.Log.begin() + ArchiveBatch - 1);
+                 writeHead();
+               });
 }
 
 auto ChangeWriter::writeHead() -> void {
--- a/src/config/configuration_controller.cpp
+++ b/src/config/configuration_controller.cpp
@@ -393,8 +393,8 @@
 }
 
 auto ConfigurationController::findChange(
-    std::string id, std::function<void(absl::StatusOr<ChangeRecord>)> done)
-    -> void {
+    const std::string &id,
+    const std::function<void(absl::StatusOr<ChangeRecord>)> &done) -> void {
   if (const auto *known = State.head().findChange(id)) {
     done(*known);
     return;
--- a/src/config/configuration_controller.h
+++ b/src/config/configuration_controller.h
@@ -61,8 +61,8 @@
   auto submit(ChangeRequest request, ChangeDone done) -> void;
   auto isChangeOpen(std::string_view id) const -> bool;
   /// Finds an accepted change here, else in the store.
-  auto findChange(std::string id,
-                  std::function<void(absl::StatusOr<ChangeRecord>)> done)
+  auto findChange(const std::string &id,
+                  const std::function<void(absl::StatusOr<ChangeRecord>)> &done)
       -> void;
   /// Asks the live members for their revisions and counts who holds \p n.
   auto collectHolders(Revision n, std::function<void(const Holders &)> done)
--- a/src/flow/slot_table.cpp
+++ b/src/flow/slot_table.cpp
@@ -63,6 +63,8 @@
   std::uint64_t total = 0;
   for (const auto &it : all)
     total += it.Weight;
+  // Weights of zero alone leave all slots to the remainders below.
+  total = std::max<std::uint64_t>(total, 1);
   std::vector<std::uint32_t> quotas;
   std::uint32_t given = 0;
   for (const auto &it : all) {
--- a/src/logging/process_events.h
+++ b/src/logging/process_events.h
@@ -13,6 +13,8 @@
                                           "process_stopping"};
 inline constexpr LogEvent ProcessStopped{5002, Severity::Info,
                                          "process_stopped"};
+inline constexpr LogEvent StopLimitReached{5003, Severity::Warning,
+                                           "stop_limit_reached"};
 
 } // namespace boragebridge::events
 
--- a/src/membership/registration.cpp
+++ b/src/membership/registration.cpp
@@ -45,7 +45,7 @@
     }
     const auto expected = r.ok() ? r->Version : 0;
     Platform->put(platformKey(), address, expected,
-                  [this](absl::StatusOr<ObjectVersion> v) {
+                  [this](const absl::StatusOr<ObjectVersion> &v) {
                     RegistrationOpen = false;
                     Registered = v.ok();
                   });
--- a/src/platform/http_platform.cpp
+++ b/src/platform/http_platform.cpp
@@ -196,8 +196,9 @@
                   : exchangePlain(Settings, std::move(request), call.Timeout);
   asio::co_spawn(
       Io, std::move(work),
-      [parse, done = std::move(done), alive = std::weak_ptr<bool>(Alive)](
-          std::exception_ptr failure, const absl::StatusOr<Response> &r) {
+      [parse, done = std::move(done),
+       alive = std::weak_ptr<bool>(Alive)](const std::exception_ptr &failure,
+                                           const absl::StatusOr<Response> &r) {
         if (alive.expired())
           return;
         if (failure != nullptr)
--- a/src/request/ledger_handover.cpp
+++ b/src/request/ledger_handover.cpp
@@ -119,7 +119,8 @@
   const Incarnation inc{m.incarnation};
   const auto count = m.parts;
   auto &parts = Partial[m.incarnation];
-  parts[m.part] = std::move(m);
+  const auto index = m.part;
+  parts[index] = std::move(m);
   if (parts.size() < count)
     return nullptr;
   std::deque<TicketKey> keys;
--- a/src/request/pools.cpp
+++ b/src/request/pools.cpp
@@ -54,6 +54,7 @@
 auto toWireLoans(const std::vector<SlotLoan> &loans)
     -> std::vector<rw::SlotLoan> {
   std::vector<rw::SlotLoan> all;
+  all.reserve(loans.size());
   for (const auto &l : loans)
     all.emplace_back(raw(l.Slot.Upstream), l.Grant, l.Slot.Index);
   return all;
@@ -62,6 +63,7 @@
 auto fromWireLoans(const std::vector<rw::SlotLoan> &loans)
     -> std::vector<SlotLoan> {
   std::vector<SlotLoan> all;
+  all.reserve(loans.size());
   for (const auto &l : loans)
     all.push_back({{UpstreamId{l.upstream()}, l.index()}, l.grant()});
   return all;
--- a/test/config/configuration_controller_test.cpp
+++ b/test/config/configuration_controller_test.cpp
@@ -262,6 +262,7 @@
 
 BOOST_AUTO_TEST_CASE(RacingChangesOfOtherEntriesMerge) {
   std::vector<std::shared_ptr<const ChangeOutcome>> all;
+  all.reserve(8);
   for (auto n = 0; n < 8; ++n)
     all.push_back(
         Fleet.submit("e" + std::to_string(n),
--- a/test/flow/service_placement_test.cpp
+++ b/test/flow/service_placement_test.cpp
@@ -9,7 +9,7 @@
 constexpr Duration IdleLimit = std::chrono::seconds(10);
 
 struct Fixture {
-  static auto make(std::uint64_t n, std::vector<std::uint64_t> upstreams)
+  static auto make(std::uint64_t n, const std::vector<std::uint64_t> &upstreams)
       -> Generation {
     Generation g{{Revision{1}, n, Incarnation{1}}, 1024, {}};
     for (auto id : upstreams)
--- a/test/membership/membership_controller_test.cpp
+++ b/test/membership/membership_controller_test.cpp
@@ -33,7 +33,7 @@
 
 /// An instance whose settings name no peer.
 struct SeedlessInstance {
-  SeedlessInstance(std::string name, std::uint32_t address,
+  SeedlessInstance(const std::string &name, std::uint32_t address,
                    fakes::ObjectStore &store, fakes::FakeNetwork &net,
                    const ManualClock &clock,
                    const fakes::PlatformFaults &faults)
--- a/tools/boragebridged.cpp
+++ b/tools/boragebridged.cpp
@@ -9,10 +9,10 @@
 #include "config/configuration_controller.h"
 #include "logging/process_events.h"
 #include "logging/process_log.h"
-#include "net/http_platform_client.h"
 #include "net/http_server.h"
 #include "net/instance_packets.h"
 #include "net/tcp_peer_link.h"
+#include "platform/http_platform.h"
 #include "process/program.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -37,8 +37,9 @@
 class Daemon {
 public:
   explicit Daemon(const Settings &s)
-      : Options(s), Log(s.Self.Name, s.Log), Platform(Io, s.Platform),
-        Timer(Io), Stop(Io, [this] { beginStop(); }) {
+      : Options(s), Log(s.Self.Name, s.Log),
+        Platform(Io, {.Address = s.Platform}), Timer(Io),
+        Stop(Io, [this] { beginStop(); }) {
     Options.Self.Number = Incarnation{Random.next()};
   }
 
@@ -91,9 +92,14 @@
 
   auto tick() -> void {
     It->tick();
+    Admin->tick();
     const auto now = Time.now();
-    if (Stopping && (It->isStopped() || now - StopBegan > Options.StopLimit))
+    if (Stopping && It->isStopped())
       return Io.stop();
+    if (Stopping && now - StopBegan > Options.StopLimit) {
+      Log.write(events::StopLimitReached, {});
+      return Io.stop();
+    }
     Timer.expires_after(Instance::TickInterval);
     Timer.async_wait([this](auto ec) {
       if (!ec)
@@ -159,7 +165,7 @@
   SystemRandom Random;
   ProcessLog Log;
   asio::io_context Io{1};
-  HttpPlatformClient Platform;
+  HttpPlatform Platform;
   std::unique_ptr<PacketSocket> Socket;
   std::unique_ptr<InstancePackets> Packets;
   std::unique_ptr<TcpPeerLink> Peers;
