Run the packet edge on the users' platform

The way of a flow: an opening packet goes to the upstream with the least expected time to answer; the tag written into it comes back in every later packet, so any instance finds the upstream with no shared state.

HttpPlatform takes a StoreDialect and a transport, so that one client serves both object APIs; the second copy of its JSON parsing is gone. src/platform is now src/store.

--- a/src/config/change_writer.h
+++ b/src/config/change_writer.h
@@ -7,7 +7,7 @@
 
 #include "config/change.h"
 #include "config/configuration_state.h"
-#include "platform/budgeted_platform.h"
+#include "store/budgeted_platform.h"
 
 namespace boragebridge {
 
--- /dev/null
+++ b/src/edge/cold_share.h
@@ -0,0 +1,58 @@
+/// \file
+/// How many new flows this instance may open to a cold upstream, so that all
+/// instances together keep its limit with no message in the moment of need.
+///
+/// Of the instances that ever registered, the first few by rendezvous hash of
+/// the upstream may open one flow each in MinInterval; all others none. An
+/// instance that is cut off or has just restarted counts as well, and the set
+/// only grows, so views that differ for a while differ by what was added: a
+/// new instance waits until the others must have seen it.
+///
+/// Free of I/O; not thread-safe.
+#ifndef BORAGEBRIDGE_EDGE_COLD_SHARE_H
+#define BORAGEBRIDGE_EDGE_COLD_SHARE_H
+
+#include "edge/directory.h"
+
+namespace boragebridge {
+
+struct ColdShareOptions {
+  /// The limit of a cold upstream is its rate times Factor plus Slack, in new
+  /// flows within any second.
+  double Factor = 1;
+  double Slack = 0;
+  /// Over a second, since two flows may reach the upstream closer together
+  /// than they were sent.
+  Duration MinInterval = std::chrono::milliseconds(1300);
+};
+
+class ColdShare {
+public:
+  /// \p self is this instance's name.
+  ColdShare(std::string_view self, ColdShareOptions opt);
+
+  /// All instances that ever registered.
+  auto setMembers(const std::vector<std::string> &names) -> void;
+  /// This instance opens nothing to cold upstreams before \p t.
+  auto waitUntil(TimePoint t) -> void { NotBefore = t; }
+  /// Whether this instance may open a flow to cold \p u, of a service whose
+  /// cold upstreams bear \p perSecond.
+  auto mayOpen(const Upstream &u, double perSecond, TimePoint now) const
+      -> bool;
+  /// A flow was opened to cold \p u.
+  auto onOpened(const Upstream &u, TimePoint now) -> void;
+
+private:
+  auto isAmongFirst(const Upstream &u, std::size_t n) const -> bool;
+
+  ColdShareOptions Options;
+  std::uint64_t Self;
+  std::vector<std::uint64_t> Others;
+  bool IsMember = false;
+  TimePoint NotBefore;
+  std::unordered_map<std::uint32_t, TimePoint> LastOpened;
+};
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/edge/edge_server.cpp
@@ -0,0 +1,299 @@
+#include "edge/edge_server.h"
+
+#include "boragebridge/metrics.h"
+#include "edge/edge_events.h"
+#include "edge/edge_views.h"
+#include "edge/forwarder.h"
+#include "logging/process_events.h"
+#include "logging/stream_log.h"
+#include "net/datagram_socket.h"
+#include "net/http_server.h"
+#include "store/http_platform.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <csignal>
+
+namespace boragebridge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto TickInterval = std::chrono::milliseconds(20);
+constexpr auto ExpireInterval = std::chrono::seconds(1);
+constexpr auto StoreTimeout = std::chrono::milliseconds(1500);
+constexpr auto WatchGrace = std::chrono::milliseconds(1000);
+constexpr unsigned Ok = 200;
+constexpr unsigned NotReady = 503;
+
+auto inMilliseconds(Duration d) -> std::string {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+class EdgeServer {
+public:
+  EdgeServer(const EdgeSettings &s, const EdgeAdapter &a,
+             std::function<absl::Status()> reload)
+      : Settings(s), Adapter(a), Reload(std::move(reload)),
+        Log(s.InstanceName, Time),
+        Store(Io, {.Address = s.Store,
+                   .Dialect = a.Store,
+                   .Timeout = StoreTimeout,
+                   .WatchGrace = WatchGrace}),
+        Random(SystemRandom().next()),
+        Cold(s.InstanceName, {.Factor = s.ColdFactor, .Slack = s.ColdSlack}),
+        Chooser(Known, Loads, Cold, Random, {.Own = s.DataCentre}),
+        Decide(Known, Loads, Chooser),
+        Views({Store, Time, Random, Log}, *a.Records, Known, Cold,
+              {.InstanceName = s.InstanceName}),
+        Timer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP),
+        HandshakeMs(Metrics.distribution("edge_handshake_milliseconds",
+                                         "From an opening to its answer")) {}
+
+  auto run() -> absl::Status;
+
+private:
+  auto listen() -> absl::Status;
+  auto onDatagram(std::span<std::byte> datagram) -> void;
+  auto onDecision(const FlowPacket &p, const EdgeDecision &d,
+                  std::span<std::byte> datagram) -> void;
+  auto reset(const FlowPacket &p, EdgeReason why) -> void;
+  auto logOpened(const FlowPacket &p, const EdgeDecision &d) -> void;
+  auto answer(const HttpRequest &r) -> HttpResponse;
+  auto renderMetrics() -> std::string;
+  auto scheduleTick() -> void;
+  auto tick() -> void;
+  auto awaitSignal() -> void;
+  auto beginStop() -> void;
+
+  const EdgeSettings &Settings;
+  const EdgeAdapter &Adapter;
+  std::function<absl::Status()> Reload;
+  SteadyClock Time;
+  StreamLog Log;
+  asio::io_context Io{1};
+  HttpPlatform Store;
+  SeededRandom Random;
+  Directory Known;
+  Estimates Loads;
+  ColdShare Cold;
+  Picker Chooser;
+  Forwarder Decide;
+  EdgeViews Views;
+  asio::steady_timer Timer;
+  asio::signal_set Signals;
+  MetricRegistry Metrics;
+  Distribution &HandshakeMs;
+  std::unique_ptr<DatagramSocket> Socket;
+  std::unique_ptr<HttpServer> Readiness;
+  std::unique_ptr<HttpServer> MetricsServer;
+  /// Resets of the batch in progress.
+  std::array<PacketFormat::ResetBuffer, DatagramSocket::Batch> Resets{};
+  std::size_t NextReset = 0;
+  std::uint64_t Malformed = 0;
+  TimePoint Now;
+  TimePoint Expired;
+  bool WasReady = false;
+  std::optional<TimePoint> StopAt;
+};
+
+auto EdgeServer::run() -> absl::Status {
+  if (auto s = listen(); !s.ok())
+    return s;
+  Log.write(events::ProcessStarted, {{"packets", toString(Settings.Packets)},
+                                     {"store", toString(Settings.Store)},
+                                     {"version", BORAGEBRIDGE_VERSION}});
+  awaitSignal();
+  tick();
+  Io.run();
+  Log.write(events::ProcessStopped, {});
+  return absl::OkStatus();
+}
+
+auto EdgeServer::listen() -> absl::Status {
+  auto socket = DatagramSocket::open(Io, Settings.Packets);
+  if (!socket.ok())
+    return socket.status();
+  Socket = *std::move(socket);
+  auto handler = [this](const HttpRequest &r, const HttpRespond &respond) {
+    respond(answer(r));
+  };
+  auto readiness = HttpServer::open(Io, Settings.Readiness, handler);
+  if (!readiness.ok())
+    return readiness.status();
+  Readiness = *std::move(readiness);
+  if (Settings.Metrics.Port != 0) {
+    auto metrics = HttpServer::open(Io, Settings.Metrics, handler);
+    if (metrics.ok())
+      MetricsServer = *std::move(metrics);
+    else
+      Log.write(events::PacketRefused,
+                {{"why", std::string(metrics.status().message())}});
+  }
+  Socket->start([this](auto datagram, const auto &) { onDatagram(datagram); });
+  return absl::OkStatus();
+}
+
+auto EdgeServer::onDatagram(std::span<std::byte> datagram) -> void {
+  FlowPacket p;
+  if (!Adapter.Packets->decode(datagram, p)) {
+    ++Malformed;
+    Log.write(events::PacketRefused,
+              {{"why", "malformed"}, {"bytes", std::to_string(datagram.size())}});
+    return;
+  }
+  Now = Time.now();
+  onDecision(p, Decide.decide(p, Now), datagram);
+}
+
+auto EdgeServer::onDecision(const FlowPacket &p, const EdgeDecision &d,
+                            std::span<std::byte> datagram) -> void {
+  if (const auto took = Decide.lastAnswerTime(); took > Duration::zero())
+    HandshakeMs.record(
+        std::chrono::duration<double, std::milli>(took).count());
+  switch (d.What) {
+  case EdgeAction::Forward:
+    Socket->queue(Adapter.Packets->address(datagram, d.To->Tag,
+                                           d.To->Record.WireId),
+                  d.To->Record.Address);
+    if (p.Opens)
+      logOpened(p, d);
+    return;
+  case EdgeAction::Reset:
+    return reset(p, d.Why);
+  case EdgeAction::Drop:
+    return;
+  }
+}
+
+auto EdgeServer::logOpened(const FlowPacket &p, const EdgeDecision &d) -> void {
+  if (!Log.wouldTake(events::FlowOpened))
+    return;
+  Log.write(events::FlowOpened,
+            {{"caller", toString(p.Flow.Caller)},
+             {"service", toString(p.Flow.Service)},
+             {"copy", std::to_string(p.Acknowledged)},
+             {"upstream", d.To->Record.Name},
+             {"why", std::string(toString(d.Why))},
+             {"chosen", std::string(toString(d.Chosen))},
+             {"expected_ms", inMilliseconds(Loads.expectedTime(*d.To, Now))},
+             {"strikes", std::to_string(Loads.strikes(*d.To))},
+             {"view_age_ms", inMilliseconds(Views.age(Now))}});
+}
+
+auto EdgeServer::reset(const FlowPacket &p, EdgeReason why) -> void {
+  auto &buf = Resets[NextReset++ % Resets.size()];
+  Socket->queue(Adapter.Packets->makeReset(p, buf),
+                Adapter.Packets->callerAddress(p.Flow.Caller));
+  if (!Log.wouldTake(events::FlowReset))
+    return;
+  Log.write(events::FlowReset,
+            {{"caller", toString(p.Flow.Caller)},
+             {"service", toString(p.Flow.Service)},
+             {"why", std::string(toString(why))},
+             {"tag", std::to_string(static_cast<std::uint32_t>(p.Tag))},
+             {"configuration", std::to_string(Known.configuration().Version)},
+             {"view_age_ms", inMilliseconds(Views.age(Now))}});
+}
+
+auto EdgeServer::answer(const HttpRequest &r) -> HttpResponse {
+  if (r.Target == "/metrics")
+    return {Ok, "text/plain; version=0.0.4", renderMetrics(), {}};
+  const auto isReady = Views.isComplete() && !StopAt;
+  return {isReady ? Ok : NotReady, "text/plain", isReady ? "ready" : "not ready",
+          {}};
+}
+
+auto EdgeServer::renderMetrics() -> std::string {
+  auto set = [this](const std::string &name, const std::string &help,
+                    std::uint64_t total) {
+    auto &c = Metrics.counter(name, help);
+    c.add(total - c.value());
+  };
+  for (std::size_t i = 0; i < static_cast<std::size_t>(EdgeReason::Count_);
+       ++i) {
+    const auto why = static_cast<EdgeReason>(i);
+    set("edge_packets_" + std::string(toString(why)) + "_total",
+        "Packets by why they met their fate", Decide.count(why));
+  }
+  set("edge_packets_malformed_total", "Datagrams that are no packet",
+      Malformed);
+  set("edge_packets_received_total", "Datagrams", Socket->counts().Received);
+  set("edge_packets_sent_total", "Datagrams", Socket->counts().Sent);
+  set("edge_packets_send_failed_total", "Datagrams that the kernel refused",
+      Socket->counts().SendFailed);
+  set("edge_store_calls_total", "Calls to the store", Views.calls());
+  set("edge_log_lines_left_out_total", "Log lines over a limit", Log.leftOut());
+  Metrics.gauge("edge_upstreams", "Registered upstreams")
+      .set(static_cast<double>(Known.size()));
+  Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
+      .set(std::chrono::duration<double>(Views.age(Time.now())).count());
+  return Metrics.renderText();
+}
+
+auto EdgeServer::scheduleTick() -> void {
+  Timer.expires_after(TickInterval);
+  Timer.async_wait([this](auto ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+auto EdgeServer::tick() -> void {
+  // What waits in the socket may be the answers that tick() finds missing.
+  Socket->drain();
+  Now = Time.now();
+  Decide.tick(Now);
+  Views.tick(Now);
+  if (Now - Expired >= ExpireInterval) {
+    Known.expire(Now);
+    Expired = Now;
+  }
+  if (!WasReady && Views.isComplete()) {
+    WasReady = true;
+    Log.write(events::EdgeReady,
+              {{"upstreams", std::to_string(Known.size())},
+               {"configuration",
+                std::to_string(Known.configuration().Version)}});
+  }
+  Log.flush();
+  if (StopAt && Now >= *StopAt)
+    return Io.stop();
+  scheduleTick();
+}
+
+auto EdgeServer::awaitSignal() -> void {
+  Signals.async_wait([this](auto ec, int number) {
+    if (ec)
+      return;
+    if (number == SIGHUP) {
+      const auto s = Reload();
+      Log.write(events::SettingsReloaded,
+                {{"result", s.ok() ? "ok" : std::string(s.message())}});
+    } else {
+      beginStop();
+    }
+    awaitSignal();
+  });
+}
+
+auto EdgeServer::beginStop() -> void {
+  if (StopAt)
+    return;
+  StopAt = Time.now() + Settings.StopDelay;
+  Log.write(events::ProcessStopping,
+            {{"in_ms", inMilliseconds(Settings.StopDelay)}});
+}
+
+} // namespace
+
+auto runEdge(const EdgeSettings &settings, const EdgeAdapter &adapter,
+             const std::function<absl::Status()> &reload) -> absl::Status {
+  // On the heap: the server holds buffers of many kilobytes.
+  return std::make_unique<EdgeServer>(settings, adapter, reload)->run();
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/edge/estimates.cpp
@@ -0,0 +1,131 @@
+#include "edge/estimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragebridge {
+
+using Seconds = std::chrono::duration<double>;
+
+auto Estimates::entry(const Upstream &u) -> Entry & {
+  if (u.Index >= Entries.size())
+    Entries.resize(u.Index + 1);
+  auto &e = Entries[u.Index];
+  if (e.Tag != u.Tag) {
+    e = Entry{};
+    e.Tag = u.Tag;
+    e.ResponseSeconds = Seconds(Options.FirstResponseTime).count();
+  }
+  return e;
+}
+
+auto Estimates::find(const Upstream &u) const -> const Entry * {
+  if (u.Index >= Entries.size() || Entries[u.Index].Tag != u.Tag)
+    return nullptr;
+  return &Entries[u.Index];
+}
+
+auto Estimates::onWork(const Upstream &u, TimePoint now) -> void {
+  const auto faded = load(u, now);
+  auto &e = entry(u);
+  e.Load = faded + 1;
+  e.LoadAt = now;
+}
+
+auto Estimates::load(const Upstream &u, TimePoint now) const -> double {
+  const auto *e = find(u);
+  if (e == nullptr || e->Load == 0)
+    return 0;
+  return e->Load * std::exp(-Seconds(now - e->LoadAt) /
+                            Seconds(Options.LoadMemory));
+}
+
+auto Estimates::onProgress(const Upstream &u, TimePoint now) -> void {
+  auto &e = entry(u);
+  e.ProgressAt = now;
+  if (e.Strikes == 0 && DataCentres.empty())
+    return;
+  e.Strikes = 0;
+  e.AvoidUntil = {};
+  DataCentres.erase(raw(u.Record.DataCentre));
+}
+
+auto Estimates::onResponse(const Upstream &u, Duration took) -> void {
+  auto &e = entry(u);
+  const auto seconds =
+      Seconds(std::min(took, Options.LongestResponseTime)).count();
+  e.ResponseSeconds += Options.ResponseShare * (seconds - e.ResponseSeconds);
+}
+
+auto Estimates::avoidance(unsigned strikes) const -> Duration {
+  auto d = Options.FirstAvoidance;
+  for (unsigned i = 1; i < strikes && d < Options.MaxAvoidance; ++i)
+    d *= 2;
+  return std::min(d, Options.MaxAvoidance);
+}
+
+auto Estimates::onStrike(const Upstream &u, TimePoint struckAt, TimePoint now)
+    -> void {
+  auto &e = entry(u);
+  if (struckAt > e.ProgressAt && e.Strikes > 0)
+    return;
+  if (++e.Strikes == 1)
+    e.FirstStrike = now;
+  e.AvoidUntil = now + avoidance(e.Strikes);
+  auto &d = DataCentres[raw(u.Record.DataCentre)];
+  if (e.Strikes == 1)
+    ++d.Suspects;
+  if (d.Suspects >= Options.SuspectsOfDataCentre)
+    d.AvoidUntil = std::max(d.AvoidUntil, e.AvoidUntil);
+}
+
+auto Estimates::onTrial(const Upstream &u, TimePoint now) -> void {
+  auto &e = entry(u);
+  const auto until = now + avoidance(std::max(e.Strikes, 1U));
+  e.AvoidUntil = until;
+  const auto it = DataCentres.find(raw(u.Record.DataCentre));
+  if (it != DataCentres.end() && it->second.AvoidUntil != TimePoint{})
+    it->second.AvoidUntil = until;
+}
+
+auto Estimates::forgetStrikes() -> void {
+  for (auto &it : Entries) {
+    it.Strikes = 0;
+    it.AvoidUntil = {};
+  }
+  DataCentres.clear();
+}
+
+auto Estimates::isAvoided(const Upstream &u, TimePoint now) const -> bool {
+  if (const auto *e = find(u); e != nullptr && now < e->AvoidUntil)
+    return true;
+  const auto it = DataCentres.find(raw(u.Record.DataCentre));
+  return it != DataCentres.end() && now < it->second.AvoidUntil;
+}
+
+auto Estimates::hasStrikes(const Upstream &u) const -> bool {
+  return strikes(u) > 0;
+}
+
+auto Estimates::strikes(const Upstream &u) const -> unsigned {
+  const auto *e = find(u);
+  return e == nullptr ? 0 : e->Strikes;
+}
+
+auto Estimates::isDark(const Upstream &u, TimePoint now) const -> bool {
+  const auto *e = find(u);
+  return e != nullptr && e->Strikes >= Options.DarkStrikes &&
+         now - e->FirstStrike >= Options.DarkTime;
+}
+
+auto Estimates::expectedTime(const Upstream &u, TimePoint now) const
+    -> Duration {
+  const auto *e = find(u);
+  const auto response =
+      e == nullptr ? Seconds(Options.FirstResponseTime)
+                   : Seconds(e->ResponseSeconds);
+  const auto waiting = load(u, now) / static_cast<double>(u.Record.Slots);
+  return std::chrono::duration_cast<Duration>(response * (1 + waiting));
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/edge/forwarder.cpp
@@ -0,0 +1,191 @@
+#include "edge/forwarder.h"
+
+#include <utility>
+
+namespace boragebridge {
+
+/// Openings that may wait for an answer at once.
+static constexpr std::size_t MaxOpenings = 4096;
+
+auto toString(EdgeReason r) -> std::string_view {
+  static constexpr std::array<std::string_view,
+                              static_cast<std::size_t>(EdgeReason::Count_)>
+      Names{"opened",      "opened_again",  "pinned",        "tagged",
+            "no_route",    "no_upstream",   "upstream_gone", "upstream_dark",
+            "unknown_tag", "no_tag",        "not_ready"};
+  return r < EdgeReason::Count_ ? Names[static_cast<std::size_t>(r)]
+                                : "unknown";
+}
+
+Forwarder::Forwarder(const Directory &dir, Estimates &est, Picker &picker,
+                     ForwarderOptions opt)
+    : Known(dir), Loads(est), Chooser(picker), Options(opt),
+      Flows(opt.CachedFlows), Openings(MaxOpenings) {}
+
+auto Forwarder::decide(const FlowPacket &p, TimePoint now) -> EdgeDecision {
+  AnswerTime = {};
+  auto d = judge(p, now);
+  // A reset is never answered with a reset.
+  if (p.Resets && d.What == EdgeAction::Reset)
+    d.What = EdgeAction::Drop;
+  ++Counts[static_cast<std::size_t>(d.Why)];
+  return d;
+}
+
+auto Forwarder::judge(const FlowPacket &p, TimePoint now) -> EdgeDecision {
+  if (!Known.isComplete())
+    return {EdgeAction::Drop, EdgeReason::NotReady};
+  const auto *route = Known.route(p.Flow.Service);
+  if (route == nullptr)
+    return {EdgeAction::Reset, EdgeReason::NoRoute};
+  return p.Opens ? open(p, *route, now) : carryOn(p, now);
+}
+
+auto Forwarder::upstreamOf(const FlowEntry &e) const -> const Upstream * {
+  const auto *u = Known.find(e.Tag);
+  return u != nullptr && u->Index == e.Index ? u : nullptr;
+}
+
+auto Forwarder::open(const FlowPacket &p, const RouteRecord &route,
+                     TimePoint now) -> EdgeDecision {
+  auto *known = Flows.find(p.Flow);
+  if (known != nullptr && known->FirstSequence == p.Sequence)
+    return openAgain(p, route, *known, now);
+  const auto pick = Chooser.pick(route, nullptr, now);
+  if (pick.Chosen == nullptr)
+    return {EdgeAction::Reset, EdgeReason::NoUpstream};
+  return forwardOpening(p, Flows.insert(p.Flow, now), pick, EdgeReason::Opened,
+                        now);
+}
+
+/// A copy of an opening packet: to the same upstream, which may have the flow
+/// half open, unless that one does not answer.
+auto Forwarder::openAgain(const FlowPacket &p, const RouteRecord &route,
+                          FlowEntry &e, TimePoint now) -> EdgeDecision {
+  const auto *first = upstreamOf(e);
+  if (e.Open && first != nullptr)
+    return {EdgeAction::Forward, EdgeReason::Pinned, first};
+  if (first != nullptr && Known.mayOpen(*first, now) &&
+      !Loads.hasStrikes(*first)) {
+    e.SeenAt = now;
+    e.Unanswered = false;
+    awaitAnswer(e, now);
+    return {EdgeAction::Forward, EdgeReason::OpenedAgain, first};
+  }
+  const auto pick = Chooser.pick(route, first, now);
+  if (pick.Chosen == nullptr)
+    return {EdgeAction::Reset, EdgeReason::NoUpstream};
+  return forwardOpening(p, e, pick, EdgeReason::OpenedAgain, now);
+}
+
+auto Forwarder::forwardOpening(const FlowPacket &p, FlowEntry &e,
+                               const Pick &pick, EdgeReason why, TimePoint now)
+    -> EdgeDecision {
+  e.Tag = pick.Chosen->Tag;
+  e.Index = pick.Chosen->Index;
+  e.OpenedAt = now;
+  e.SeenAt = now;
+  e.FirstSequence = p.Sequence;
+  e.NextSequence = p.Sequence + 1;
+  e.Unanswered = false;
+  awaitAnswer(e, now);
+  return {EdgeAction::Forward, why, pick.Chosen, pick.Reason};
+}
+
+auto Forwarder::awaitAnswer(const FlowEntry &e, TimePoint now) -> void {
+  if (OpeningCount == Openings.size()) {
+    FirstOpening = (FirstOpening + 1) % Openings.size();
+    --OpeningCount;
+  }
+  Openings[(FirstOpening + OpeningCount) % Openings.size()] = {e.Flow, now,
+                                                               e.Tag};
+  ++OpeningCount;
+}
+
+auto Forwarder::carryOn(const FlowPacket &p, TimePoint now) -> EdgeDecision {
+  auto *e = Flows.find(p.Flow);
+  const Upstream *u = nullptr;
+  auto why = EdgeReason::Pinned;
+  if (e != nullptr && e->Open)
+    u = upstreamOf(*e);
+  if (u == nullptr) {
+    why = EdgeReason::Tagged;
+    if (p.Tag == UpstreamTag::None)
+      return {EdgeAction::Drop, EdgeReason::NoTag};
+    u = Known.find(p.Tag);
+  }
+  if (u == nullptr)
+    return {Known.isSettled(now) ? EdgeAction::Reset : EdgeAction::Drop,
+            EdgeReason::UnknownTag};
+  if (Known.isGone(*u, now))
+    return {EdgeAction::Reset, EdgeReason::UpstreamGone};
+  if (e == nullptr)
+    e = &Flows.insert(p.Flow, now);
+  observe(p, *e, *u, now);
+  if (Loads.isDark(*u, now))
+    return {EdgeAction::Reset, EdgeReason::UpstreamDark};
+  return {EdgeAction::Forward, why, u};
+}
+
+/// Whether sequence number \p a comes after \p b, with wrap-around.
+static auto isAfter(std::uint32_t a, std::uint32_t b) -> bool {
+  return static_cast<std::int32_t>(a - b) > 0;
+}
+
+auto Forwarder::observe(const FlowPacket &p, FlowEntry &e, const Upstream &u,
+                        TimePoint now) -> void {
+  e.SeenAt = now;
+  if (!e.Open || e.Tag != u.Tag) {
+    if (e.Tag == u.Tag && !e.Unanswered)
+      AnswerTime = now - e.OpenedAt;
+    e.Open = true;
+    e.Tag = u.Tag;
+    e.Index = u.Index;
+    e.Acknowledged = p.Acknowledged;
+    e.NextSequence = p.Sequence;
+    e.SentAt = now;
+    // The packet repeats what the upstream sent, so the upstream has answered.
+    if (e.FirstSequence != 0)
+      Loads.onProgress(u, now);
+  } else if (isAfter(p.Acknowledged, e.Acknowledged)) {
+    e.Acknowledged = p.Acknowledged;
+    Loads.onProgress(u, now);
+    if (p.Finishes)
+      Loads.onResponse(u, now - e.SentAt);
+  } else if (p.Length > 0 &&
+             !isAfter(p.Sequence + p.Length, e.NextSequence)) {
+    Loads.onStrike(u, e.StruckAt, now);
+    e.StruckAt = now;
+  }
+  if (p.Length > 0 && isAfter(p.Sequence + p.Length, e.NextSequence)) {
+    if (e.NextSequence == p.Sequence && now - e.SentAt > Options.AnswerTimeout)
+      Loads.onWork(u, now);
+    e.NextSequence = p.Sequence + p.Length;
+    e.SentAt = now;
+  }
+}
+
+auto Forwarder::tick(TimePoint now) -> void {
+  if (LastTick != TimePoint{} && now - LastTick > Options.LongestPause) {
+    // The answers may lie unread or may have been dropped meanwhile.
+    Loads.forgetStrikes();
+    OpeningCount = 0;
+  }
+  LastTick = now;
+  while (OpeningCount > 0) {
+    const auto &first = Openings[FirstOpening];
+    if (now - first.At < Options.AnswerTimeout)
+      return;
+    auto *e = Flows.find(first.Flow);
+    if (e != nullptr && !e->Open && e->Tag == first.Tag && !e->Unanswered)
+      if (const auto *u = upstreamOf(*e)) {
+        e->Unanswered = true;
+        Loads.onStrike(*u, e->StruckAt, now);
+        e->StruckAt = now;
+      }
+    FirstOpening = (FirstOpening + 1) % Openings.size();
+    --OpeningCount;
+  }
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/edge/forwarder.h
@@ -0,0 +1,122 @@
+/// \file
+/// Decides what becomes of each packet of a caller: to which upstream it goes,
+/// or whether the flow is reset or the packet dropped.
+///
+/// An opening packet goes to the upstream that Picker chooses. Every later one
+/// goes to the upstream that its tag names, whichever instance sees it. A flow
+/// whose upstream is gone, whose route was removed or that no upstream can
+/// take is reset at once, so that its caller may come back at once.
+///
+/// Example:
+/// \code
+///   switch (const auto d = forwarder.decide(packet, now); d.What) { ... }
+/// \endcode
+///
+/// Free of I/O; allocates nothing for a packet; not thread-safe.
+#ifndef BORAGEBRIDGE_EDGE_FORWARDER_H
+#define BORAGEBRIDGE_EDGE_FORWARDER_H
+
+#include "edge/flow_cache.h"
+#include "edge/flow_packet.h"
+#include "edge/picker.h"
+
+#include <array>
+
+namespace boragebridge {
+
+enum class EdgeAction : std::uint8_t { Forward, Reset, Drop };
+
+/// Why a packet met its fate; the names in logs and metrics are toString's.
+enum class EdgeReason : std::uint8_t {
+  Opened,
+  OpenedAgain,
+  Pinned,
+  Tagged,
+  NoRoute,
+  NoUpstream,
+  UpstreamGone,
+  UpstreamDark,
+  UnknownTag,
+  NoTag,
+  NotReady,
+  Count_,
+};
+
+auto toString(EdgeReason r) -> std::string_view;
+
+/// What is to be done with one packet.
+struct EdgeDecision {
+  EdgeAction What = EdgeAction::Drop;
+  EdgeReason Why = EdgeReason::NotReady;
+  /// Set when it is forwarded.
+  const Upstream *To = nullptr;
+  /// For an opening packet: how To was chosen.
+  PickReason Chosen = PickReason::None;
+};
+
+struct ForwarderOptions {
+  std::size_t CachedFlows = 16'384;
+  /// An opening packet that no other packet of its flow follows for so long
+  /// counts as unanswered.
+  Duration AnswerTimeout = std::chrono::milliseconds(60);
+  /// Longer pauses of this process void what was seen before them.
+  Duration LongestPause = std::chrono::milliseconds(150);
+};
+
+class Forwarder {
+public:
+  /// All references outlive the forwarder.
+  Forwarder(const Directory &dir, Estimates &est, Picker &picker,
+            ForwarderOptions opt = {});
+
+  auto decide(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  /// Judges openings that stayed unanswered. Call every few tens of
+  /// milliseconds, after all packets that wait have been decided on.
+  auto tick(TimePoint now) -> void;
+  /// How often each reason was given.
+  auto count(EdgeReason r) const -> std::uint64_t {
+    return Counts[static_cast<std::size_t>(r)];
+  }
+  /// Handshake time of the flow that the last decision found answered; zero
+  /// when it found none.
+  auto lastAnswerTime() const -> Duration { return AnswerTime; }
+
+private:
+  /// An opening that waits for its answer.
+  struct Opening {
+    FlowKey Flow;
+    TimePoint At;
+    UpstreamTag Tag = UpstreamTag::None;
+  };
+
+  auto judge(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  auto open(const FlowPacket &p, const RouteRecord &route, TimePoint now)
+      -> EdgeDecision;
+  auto openAgain(const FlowPacket &p, const RouteRecord &route, FlowEntry &e,
+                 TimePoint now) -> EdgeDecision;
+  auto forwardOpening(const FlowPacket &p, FlowEntry &e, const Pick &pick,
+                      EdgeReason why, TimePoint now) -> EdgeDecision;
+  auto carryOn(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  auto observe(const FlowPacket &p, FlowEntry &e, const Upstream &u,
+               TimePoint now) -> void;
+  auto upstreamOf(const FlowEntry &e) const -> const Upstream *;
+  auto awaitAnswer(const FlowEntry &e, TimePoint now) -> void;
+
+  const Directory &Known;
+  Estimates &Loads;
+  Picker &Chooser;
+  ForwarderOptions Options;
+  FlowCache Flows;
+  std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count_)>
+      Counts{};
+  /// A ring; the oldest opening goes unjudged when it is full.
+  std::vector<Opening> Openings;
+  std::size_t FirstOpening = 0;
+  std::size_t OpeningCount = 0;
+  TimePoint LastTick;
+  Duration AnswerTime{};
+};
+
+} // namespace boragebridge
+
+#endif
--- /dev/null
+++ b/src/edge/picker.cpp
@@ -0,0 +1,104 @@
+#include "edge/picker.h"
+
+namespace boragebridge {
+
+auto toString(PickReason r) -> std::string_view {
+  switch (r) {
+  case PickReason::Best:
+    return "best";
+  case PickReason::Cold:
+    return "cold";
+  case PickReason::Avoided:
+    return "avoided";
+  case PickReason::Missing:
+    return "missing";
+  case PickReason::None:
+    return "none";
+  }
+  return "unknown";
+}
+
+Picker::Picker(const Directory &dir, Estimates &est, ColdShare &cold,
+               RandomSource &random, PickerOptions opt)
+    : Known(dir), Loads(est), Cold(cold), Random(random), Options(opt) {}
+
+auto Picker::pick(const RouteRecord &route, const Upstream *except,
+                  TimePoint now) -> Pick {
+  const auto first = chooseService(route);
+  const auto n = route.Services.size();
+  Pick best;
+  for (std::size_t i = 0; i < n && best.Chosen == nullptr; ++i)
+    best = pickOf(route.Services[(first + i) % n].Service, except, now);
+  if (best.Chosen == nullptr && except != nullptr &&
+      Known.mayOpenAtWorst(*except, now))
+    best = {except, PickReason::Avoided};
+  note(best, now);
+  return best;
+}
+
+auto Picker::chooseService(const RouteRecord &route) -> std::size_t {
+  if (route.Services.size() == 1)
+    return 0;
+  std::uint64_t total = 0;
+  for (const auto &it : route.Services)
+    total += it.Weight;
+  auto left = total == 0 ? 0 : Random.below(total);
+  for (std::size_t i = 0; i < route.Services.size(); ++i) {
+    if (left < route.Services[i].Weight)
+      return i;
+    left -= route.Services[i].Weight;
+  }
+  return 0;
+}
+
+auto Picker::pickOf(ServiceId service, const Upstream *except, TimePoint now)
+    -> Pick {
+  Pick best;
+  auto bestCost = 0.0;
+  for (const auto *it : Known.upstreamsOf(service)) {
+    if (it == except)
+      continue;
+    const auto reason = classify(*it, service, now);
+    if (reason == PickReason::None || reason > best.Reason)
+      continue;
+    const auto c = cost(*it, now);
+    if (reason < best.Reason || c < bestCost) {
+      best = {it, reason};
+      bestCost = c;
+    }
+  }
+  return best;
+}
+
+auto Picker::classify(const Upstream &u, ServiceId service,
+                      TimePoint now) const -> PickReason {
+  if (!Known.mayOpenAtWorst(u, now))
+    return PickReason::None;
+  if (Known.isCold(u, now))
+    return Cold.mayOpen(u, Known.coldPerSecond(service), now)
+               ? PickReason::Cold
+               : PickReason::None;
+  if (!Known.mayOpen(u, now))
+    return PickReason::Missing;
+  return Loads.isAvoided(u, now) ? PickReason::Avoided : PickReason::Best;
+}
+
+auto Picker::cost(const Upstream &u, TimePoint now) -> double {
+  auto expected = Loads.expectedTime(u, now);
+  if (u.Record.DataCentre != Options.Own)
+    expected += Options.RemotePenalty;
+  return static_cast<double>(expected.count()) *
+         (1 + Options.RandomShare * Random.unit());
+}
+
+auto Picker::note(const Pick &p, TimePoint now) -> void {
+  if (p.Chosen == nullptr)
+    return;
+  Loads.onWork(*p.Chosen, now);
+  if (Loads.hasStrikes(*p.Chosen))
+    Loads.onTrial(*p.Chosen, now);
+  if (p.Reason == PickReason::Cold)
+    Cold.onOpened(*p.Chosen, now);
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/edge/picker.h
@@ -0,0 +1,69 @@
+/// \file
+/// Chooses the upstream of a new flow: the one with the least expected time to
+/// answer among those that may take it, the own data centre first.
+///
+/// Order of preference:
+///  1. registered, warm and not avoided;
+///  2. cold, within this instance's share of what a cold upstream bears;
+///  3. avoided, so that suspicion never empties a service;
+///  4. missing from the store for a short while.
+///
+/// A random factor keeps instances that know the same from all choosing the
+/// same upstream. Free of I/O; allocates nothing; not thread-safe.
+#ifndef BORAGEBRIDGE_EDGE_PICKER_H
+#define BORAGEBRIDGE_EDGE_PICKER_H
+
+#include "boragebridge/random.h"
+#include "edge/cold_share.h"
+#include "edge/estimates.h"
+
+namespace boragebridge {
+
+struct PickerOptions {
+  DataCentreId Own{};
+  /// What an upstream of another data centre has to be faster by.
+  Duration RemotePenalty = std::chrono::milliseconds(25);
+  /// Expected times are multiplied by 1 to 1 + this.
+  double RandomShare = 0.25;
+};
+
+/// Why an upstream was chosen; the order of preference.
+enum class PickReason : std::uint8_t { Best, Cold, Avoided, Missing, None };
+
+auto toString(PickReason r) -> std::string_view;
+
+struct Pick {
+  /// Null: no upstream can take the flow.
+  const Upstream *Chosen = nullptr;
+  PickReason Reason = PickReason::None;
+};
+
+class Picker {
+public:
+  /// All references outlive the picker.
+  Picker(const Directory &dir, Estimates &est, ColdShare &cold,
+         RandomSource &random, PickerOptions opt);
+
+  /// Chooses for a new flow of \p route; never \p except, unless nothing else
+  /// is left. Notes the choice as work, trial or use of the cold share.
+  auto pick(const RouteRecord &route, const Upstream *except, TimePoint now)
+      -> Pick;
+
+private:
+  auto chooseService(const RouteRecord &route) -> std::size_t;
+  auto pickOf(ServiceId service, const Upstream *except, TimePoint now) -> Pick;
+  auto classify(const Upstream &u, ServiceId service, TimePoint now) const
+      -> PickReason;
+  auto cost(const Upstream &u, TimePoint now) -> double;
+  auto note(const Pick &p, TimePoint now) -> void;
+
+  const Directory &Known;
+  Estimates &Loads;
+  ColdShare &Cold;
+  RandomSource &Random;
+  PickerOptions Options;
+};
+
+} // namespace boragebridge
+
+#endif
--- a/src/membership/membership_controller.h
+++ b/src/membership/membership_controller.h
@@ -8,7 +8,7 @@
 #define BORAGEBRIDGE_MEMBERSHIP_MEMBERSHIP_CONTROLLER_H
 
 #include "membership/membership_messages.h"
-#include "platform/budgeted_platform.h"
+#include "store/budgeted_platform.h"
 
 #include <deque>
 
--- a/src/platform/budgeted_platform.cpp
+++ b/src/store/budgeted_platform.cpp
@@ -1,6 +1,6 @@
-#include "platform/budgeted_platform.h"
+#include "store/budgeted_platform.h"
 
-#include "platform/platform_events.h"
+#include "store/platform_events.h"
 
 #include <algorithm>
 
--- a/src/platform/budgeted_platform.h
+++ b/src/store/budgeted_platform.h
@@ -2,8 +2,8 @@
 /// Decorates any PlatformClient: counts the calls by kind, keeps them within a
 /// budget, ends each by a deadline of its own, and tells background loops when
 /// to try again after failures.
-#ifndef BORAGEBRIDGE_PLATFORM_BUDGETED_PLATFORM_H
-#define BORAGEBRIDGE_PLATFORM_BUDGETED_PLATFORM_H
+#ifndef BORAGEBRIDGE_STORE_BUDGETED_PLATFORM_H
+#define BORAGEBRIDGE_STORE_BUDGETED_PLATFORM_H
 
 #include "boragebridge/controller.h"
 
--- /dev/null
+++ b/src/store/http_platform.cpp
@@ -0,0 +1,162 @@
+#include "store/http_platform.h"
+
+// GCC reports it in code that it makes for coroutines and in Beast's templates.
+#pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
+
+#include <boost/asio/co_spawn.hpp>
+
+namespace boragebridge {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+/// Turns the status of an answer into the errors of platform_client.h.
+static auto statusOf(const StoreHttpResponse &r) -> absl::Status {
+  constexpr std::size_t LongestText = 200;
+  const auto text = r.body().substr(0, LongestText);
+  switch (r.result()) {
+  case http::status::ok:
+  case http::status::created:
+    return absl::OkStatus();
+  case http::status::not_found:
+    return absl::NotFoundError(text);
+  case http::status::conflict:
+    return absl::AbortedError(text);
+  case http::status::gone:
+    return absl::OutOfRangeError(text);
+  case http::status::too_many_requests:
+    return absl::ResourceExhaustedError(text);
+  case http::status::service_unavailable:
+    return absl::UnavailableError(text);
+  case http::status::bad_request:
+  case http::status::payload_too_large:
+    return absl::InvalidArgumentError(text);
+  default:
+    return absl::DeadlineExceededError("status " +
+                                       std::to_string(r.result_int()));
+  }
+}
+
+/// The value of an answer, or why there is none.
+template <typename T, typename Parse>
+static auto read(const absl::StatusOr<StoreHttpResponse> &r, Parse parse)
+    -> absl::StatusOr<T> {
+  if (!r.ok())
+    return r.status();
+  if (auto s = statusOf(*r); !s.ok())
+    return s;
+  absl::StatusOr<T> value = parse(r->body());
+  if (!value.ok())
+    return absl::DeadlineExceededError("bad answer: " +
+                                       std::string(value.status().message()));
+  return value;
+}
+
+HttpPlatform::HttpPlatform(asio::io_context &io, HttpPlatformSettings settings)
+    : Io(io), Settings(std::move(settings)) {}
+
+HttpPlatform::~HttpPlatform() = default;
+
+template <typename T, typename Parse>
+auto HttpPlatform::run(const StoreRequest &request, Duration timeout,
+                       Parse parse, Callback<T> done) -> void {
+  constexpr unsigned Http11 = 11;
+  StoreHttpRequest message(http::string_to_verb(request.Method), request.Target,
+                           Http11);
+  message.set(http::field::host, Settings.ServerName.empty()
+                                     ? toString(Settings.Address)
+                                     : Settings.ServerName);
+  message.set(http::field::content_type, "application/json");
+  message.keep_alive(false);
+  message.body() = request.Body;
+  message.prepare_payload();
+  asio::co_spawn(
+      Io,
+      Settings.Transport(Settings.Address, std::move(message),
+                         {timeout, Settings.ResponseBytes}),
+      [parse = std::move(parse), done = std::move(done),
+       alive = std::weak_ptr<bool>(Alive)](
+          const std::exception_ptr &failure,
+          const absl::StatusOr<StoreHttpResponse> &r) {
+        if (alive.expired())
+          return;
+        if (failure != nullptr)
+          done(absl::DeadlineExceededError("the call failed"));
+        else
+          done(read<T>(r, parse));
+      });
+}
+
+auto HttpPlatform::get(std::string key, Callback<StoredObject> done) -> void {
+  run<StoredObject>(
+      Settings.Dialect->get(key), Settings.Timeout,
+      [dialect = Settings.Dialect, key](const std::string &body) {
+        return dialect->parseObject(key, body);
+      },
+      std::move(done));
+}
+
+auto HttpPlatform::list(std::string prefix, Callback<ObjectList> done) -> void {
+  listPage(std::move(prefix), {}, {}, std::move(done));
+}
+
+auto HttpPlatform::listPage(std::string prefix, const std::string &next,
+                            ObjectList soFar, Callback<ObjectList> done)
+    -> void {
+  const auto request = Settings.Dialect->list(prefix, next);
+  auto parse = [dialect = Settings.Dialect, prefix](const std::string &body) {
+    return dialect->parsePage(prefix, body);
+  };
+  auto onPage = [this, prefix, soFar = std::move(soFar), done = std::move(done)](
+                    absl::StatusOr<StorePage> r) mutable {
+    if (!r.ok())
+      return done(r.status());
+    if (soFar.CurrentVersion == 0)
+      soFar.CurrentVersion = r->Objects.CurrentVersion;
+    for (auto &it : r->Objects.Events)
+      soFar.Events.push_back(std::move(it));
+    if (r->Next.empty())
+      return done(std::move(soFar));
+    listPage(prefix, r->Next, std::move(soFar), std::move(done));
+  };
+  run<StorePage>(request, Settings.Timeout, std::move(parse),
+                 std::move(onPage));
+}
+
+auto HttpPlatform::put(std::string key, std::string value,
+                       ObjectVersion expected, Callback<ObjectVersion> done)
+    -> void {
+  run<ObjectVersion>(
+      Settings.Dialect->put(key, value, expected), Settings.Timeout,
+      [dialect = Settings.Dialect](const std::string &body) {
+        return dialect->parseVersion(body);
+      },
+      std::move(done));
+}
+
+auto HttpPlatform::remove(std::string key, ObjectVersion expected,
+                          Callback<ObjectVersion> done) -> void {
+  run<ObjectVersion>(
+      Settings.Dialect->remove(key, expected), Settings.Timeout,
+      [dialect = Settings.Dialect](const std::string &body) {
+        return dialect->parseVersion(body);
+      },
+      std::move(done));
+}
+
+auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
+                         Callback<ObjectList> done) -> void {
+  run<StorePage>(
+      Settings.Dialect->watch(prefix, after, wait), wait + Settings.WatchGrace,
+      [dialect = Settings.Dialect, prefix](const std::string &body) {
+        return dialect->parsePage(prefix, body);
+      },
+      [done = std::move(done)](absl::StatusOr<StorePage> r) {
+        if (r.ok())
+          done(std::move(r->Objects));
+        else
+          done(r.status());
+      });
+}
+
+} // namespace boragebridge
--- a/src/platform/http_platform.h
+++ b/src/store/http_platform.h
@@ -1,5 +1,6 @@
 /// \file
-/// PlatformClient over HTTP and JSON (docs/API.md, "Platform object API").
+/// PlatformClient over HTTP and JSON. A StoreDialect says how the calls look
+/// on the wire; the default is docs/API.md, "Platform object API".
 ///
 /// Each call opens a connection of its own, so that a connection which went
 /// silent for good harms one call, and a write is never sent on a connection
@@ -10,27 +11,36 @@
 ///   HttpPlatform platform(io, {.Address = {0x7F000001, 8500}});
 ///   platform.get("config/head", [](absl::StatusOr<StoredObject> r) { ... });
 /// \endcode
-#ifndef BORAGEBRIDGE_PLATFORM_HTTP_PLATFORM_H
-#define BORAGEBRIDGE_PLATFORM_HTTP_PLATFORM_H
+#ifndef BORAGEBRIDGE_STORE_HTTP_PLATFORM_H
+#define BORAGEBRIDGE_STORE_HTTP_PLATFORM_H
 
-#include "boragebridge/platform_client.h"
+#include "store/http_exchange.h"
+#include "store/store_dialect.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ssl/context.hpp>
 
 #include <memory>
 
 namespace boragebridge {
 
+/// Runs one exchange with the store at an address.
+using StoreTransport = std::function<StoreExchangeResult(
+    Endpoint to, StoreHttpRequest request, ExchangeLimits limits)>;
+
 /// Where the store is and how to talk to it.
 struct HttpPlatformSettings {
   Endpoint Address;
-  /// Null: no TLS. Replaced by making a new client when keys rotate.
-  std::shared_ptr<boost::asio::ssl::context> Tls = nullptr;
-  /// Name that the store's certificate has to carry.
+  /// exchangePlain, or one of tls_exchange.h. Replaced by making a new client
+  /// when keys rotate.
+  StoreTransport Transport = exchangePlain;
+  std::shared_ptr<const StoreDialect> Dialect =
+      std::make_shared<NativeDialect>();
+  /// Name for the Host field; empty: the address.
   std::string ServerName = {};
-  /// From the start of a call to its end; watches get their wait on top.
+  /// From the start of a call to its end.
   Duration Timeout = std::chrono::seconds(2);
+  /// What a watch may take beyond its wait.
+  Duration WatchGrace = std::chrono::seconds(2);
   /// Largest answer.
   std::size_t ResponseBytes = std::size_t{64} << 20;
 };
@@ -44,6 +54,8 @@
   ~HttpPlatform() override;
 
   auto get(std::string key, Callback<StoredObject> done) -> void override;
+  /// Reads page after page; the list is current to the version of its first
+  /// page.
   auto list(std::string prefix, Callback<ObjectList> done) -> void override;
   auto put(std::string key, std::string value, ObjectVersion expected,
            Callback<ObjectVersion> done) -> void override;
@@ -53,13 +65,16 @@
              Callback<ObjectList> done) -> void override;
 
 private:
-  struct Call;
-  /// Runs \p call and gives \p parse its body; \p done gets what comes of it.
+  /// Runs \p request and gives \p parse its body; \p done gets what comes of
+  /// it.
   template <typename T, typename Parse>
-  auto run(Call call, Parse parse, Callback<T> done) -> void;
+  auto run(const StoreRequest &request, Duration timeout, Parse parse,
+           Callback<T> done) -> void;
+  auto listPage(std::string prefix, const std::string &next, ObjectList soFar,
+                Callback<ObjectList> done) -> void;
 
   boost::asio::io_context &Io;
-  std::shared_ptr<const HttpPlatformSettings> Settings;
+  HttpPlatformSettings Settings;
   /// Expires with the client, so that open calls end with no callback.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- /dev/null
+++ b/src/store/object_watcher.cpp
@@ -0,0 +1,101 @@
+#include "store/object_watcher.h"
+
+#include "store/platform_events.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+ObjectWatcher::ObjectWatcher(const WatcherContext &ctx, WatcherOptions opt,
+                             WatcherHandlers handlers)
+    : Ctx(ctx), Options(std::move(opt)), Handlers(std::move(handlers)) {}
+
+auto ObjectWatcher::tick(TimePoint now) -> void {
+  if (Waiting || now < NextCall)
+    return;
+  Waiting = true;
+  ++Calls;
+  if (MustList)
+    startList();
+  else
+    startWatch();
+}
+
+auto ObjectWatcher::startList() -> void {
+  Ctx.Store.list(Options.Prefix,
+                 [this, alive = std::weak_ptr<bool>(Alive)](
+                     const absl::StatusOr<ObjectList> &r) {
+                   if (!alive.expired())
+                     onList(r);
+                 });
+}
+
+auto ObjectWatcher::startWatch() -> void {
+  Ctx.Store.watch(Options.Prefix, Version, Options.Wait,
+                  [this, alive = std::weak_ptr<bool>(Alive)](
+                      const absl::StatusOr<ObjectList> &r) {
+                    if (!alive.expired())
+                      onWatch(r);
+                  });
+}
+
+auto ObjectWatcher::onList(const absl::StatusOr<ObjectList> &r) -> void {
+  Waiting = false;
+  if (!r.ok())
+    return onFailure(r.status());
+  if (r->CurrentVersion < Version)
+    return onFailure(absl::OutOfRangeError("the list is older than the view"));
+  noteAnswer();
+  MustList = false;
+  Version = r->CurrentVersion;
+  Handlers.OnList(*r);
+}
+
+auto ObjectWatcher::onWatch(const absl::StatusOr<ObjectList> &r) -> void {
+  Waiting = false;
+  if (!r.ok()) {
+    if (absl::IsOutOfRange(r.status())) {
+      Ctx.Log.write(events::WatchHistoryGone, {{"prefix", Options.Prefix}});
+      MustList = true;
+    }
+    return onFailure(r.status());
+  }
+  noteAnswer();
+  if (r->CurrentVersion < Version)
+    return;
+  Version = r->CurrentVersion;
+  if (r->Events.empty())
+    return;
+  NextCall = Ctx.Time.now() + Options.Gather;
+  Handlers.OnEvents(*r);
+}
+
+auto ObjectWatcher::noteAnswer() -> void {
+  if (Failures > 0)
+    Ctx.Log.write(events::WatchRegained,
+                  {{"prefix", Options.Prefix},
+                   {"failures", std::to_string(Failures)}});
+  Failures = 0;
+  ConfirmedAt = Ctx.Time.now();
+  NextCall = ConfirmedAt;
+}
+
+auto ObjectWatcher::onFailure(const absl::Status &s) -> void {
+  if (Failures == 0)
+    Ctx.Log.write(events::WatchLost, {{"prefix", Options.Prefix},
+                                      {"version", std::to_string(Version)},
+                                      {"why", std::string(s.message())}});
+  auto delay = Options.FirstBackoff;
+  for (unsigned i = 0; i < Failures && delay < Options.MaxBackoff; ++i)
+    delay *= 2;
+  ++Failures;
+  const auto now = Ctx.Time.now();
+  // History that is gone is no trouble of the store: list at once.
+  NextCall = absl::IsOutOfRange(s) && Failures == 1
+                 ? now
+                 : now + Ctx.Random.jitter(std::min(delay, Options.MaxBackoff));
+  if (Handlers.OnFailure)
+    Handlers.OnFailure(s);
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/store/platform_events.h
@@ -0,0 +1,20 @@
+/// \file
+/// Log events of the platform client.
+#ifndef BORAGEBRIDGE_STORE_PLATFORM_EVENTS_H
+#define BORAGEBRIDGE_STORE_PLATFORM_EVENTS_H
+
+#include "boragebridge/event_log.h"
+
+namespace boragebridge::events {
+
+inline constexpr LogEvent PlatformLost{1300, Severity::Warning,
+                                       "platform_lost"};
+inline constexpr LogEvent PlatformBack{1301, Severity::Info, "platform_back"};
+inline constexpr LogEvent WatchLost{1302, Severity::Warning, "watch_lost"};
+inline constexpr LogEvent WatchRegained{1303, Severity::Info, "watch_regained"};
+inline constexpr LogEvent WatchHistoryGone{1304, Severity::Info,
+                                           "watch_history_gone"};
+
+} // namespace boragebridge::events
+
+#endif
--- /dev/null
+++ b/src/store/tls_exchange.cpp
@@ -0,0 +1,45 @@
+#include "store/tls_exchange.h"
+
+#include "store/http_exchange.h"
+
+// GCC reports it in code that it makes for coroutines and in Beast's templates.
+#pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
+
+#include <boost/asio/ssl/host_name_verification.hpp>
+#include <boost/beast/ssl.hpp>
+
+namespace boragebridge {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+static auto exchangeOverTls(std::shared_ptr<asio::ssl::context> tls,
+                            std::string serverName, Endpoint to,
+                            StoreHttpRequest request, ExchangeLimits limits)
+    -> StoreExchangeResult {
+  beast::ssl_stream<beast::tcp_stream> stream(
+      co_await asio::this_coro::executor, *tls);
+  beast::get_lowest_layer(stream).expires_after(limits.Timeout);
+  if (auto s = co_await connectTo(beast::get_lowest_layer(stream), to); !s.ok())
+    co_return s;
+  if (!serverName.empty())
+    stream.set_verify_callback(asio::ssl::host_name_verification(serverName));
+  beast::error_code ec;
+  co_await stream.async_handshake(
+      asio::ssl::stream_base::client,
+      asio::redirect_error(asio::use_awaitable, ec));
+  if (ec)
+    co_return absl::UnavailableError(ec.message());
+  co_return co_await exchangeOn(stream, std::move(request),
+                                limits.ResponseBytes);
+}
+
+auto makeTlsTransport(std::shared_ptr<asio::ssl::context> tls,
+                      std::string serverName) -> StoreTransport {
+  return [tls = std::move(tls), serverName = std::move(serverName)](
+             Endpoint to, StoreHttpRequest request, ExchangeLimits limits) {
+    return exchangeOverTls(tls, serverName, to, std::move(request), limits);
+  };
+}
+
+} // namespace boragebridge
--- a/test/platform/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 
 // GCC reports it in code that it makes for coroutines and in Beast's templates.
 #pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
--- a/tools/boragebridged.cpp
+++ b/tools/boragebridged.cpp
@@ -12,7 +12,7 @@
 #include "net/http_server.h"
 #include "net/instance_packets.h"
 #include "net/tcp_peer_link.h"
-#include "platform/http_platform.h"
+#include "store/http_platform.h"
 #include "process/program.h"
 
 #include <boost/asio/steady_timer.hpp>
