Expect of an upstream what it still works on

Such flows end with each cut between data centres, and pay for the way.

Now only the part that the upstream still works on counts, for three senders like this one, and another data centre has to be faster by 60 ms.

--- a/src/edge/estimates.cpp
+++ b/src/edge/estimates.cpp
@@ -123,7 +123,10 @@
   const auto *e = find(u);
   const auto response = e == nullptr ? Seconds(Options.FirstResponseTime)
                                      : Seconds(e->ResponseSeconds);
-  const auto waiting = load(u, now) / static_cast<double>(u.Record.Slots);
+  // The part of the recent requests that the upstream still works on.
+  const auto working = load(u, now) * Options.Senders *
+                       (response / Seconds(Options.LoadMemory));
+  const auto waiting = working / static_cast<double>(u.Record.Slots);
   return std::chrono::duration_cast<Duration>(response * (1 + waiting));
 }
 
--- a/src/edge/estimates.h
+++ b/src/edge/estimates.h
@@ -20,6 +20,8 @@
 struct EstimateOptions {
   /// Time in which the load of a request fades to a third.
   Duration LoadMemory = std::chrono::milliseconds(400);
+  /// Instances that are thought to send to an upstream as much as this one.
+  double Senders = 3;
   /// Assumed of an upstream that has answered nothing yet.
   Duration FirstResponseTime = std::chrono::milliseconds(30);
   /// A longer one counts as this long.
@@ -64,7 +66,7 @@
   auto isDark(const Upstream &u, TimePoint now) const -> bool;
   /// Expected time to answer one more request.
   auto expectedTime(const Upstream &u, TimePoint now) const -> Duration;
-  /// Requests of this instance that \p u is thought to work on, faded.
+  /// Requests that this instance sent to \p u lately, faded.
   auto load(const Upstream &u, TimePoint now) const -> double;
   auto strikes(const Upstream &u) const -> unsigned;
 
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -21,8 +21,10 @@
 
 struct PickerOptions {
   DataCentreId Own{};
-  /// What an upstream of another data centre has to be faster by.
-  Duration RemotePenalty = std::chrono::milliseconds(25);
+  /// What an upstream of another data centre has to be faster by. Well above
+  /// the way there: a flow across data centres also ends with a cut between
+  /// them.
+  Duration RemotePenalty = std::chrono::milliseconds(60);
   /// Expected times are multiplied by 1 to 1 + this.
   double RandomShare = 0.25;
 };
