Read the store through few instances of each data centre

Instances put themselves on record in the store and form a tree by strength in each data centre. The root reads the store; the others read the mirror of their parent over the product's own object API. A mirror whose view is not confirmed says so, and a parent that does not answer is replaced by the store at once. A start without the store asks the seeds' mirrors.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -9,6 +9,7 @@
 #include "net/datagram_socket.h"
 #include "net/http_server.h"
 #include "store/http_platform.h"
+#include "store/mirror_api.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,7 @@
 constexpr auto ExpireInterval = std::chrono::seconds(1);
 constexpr auto StoreTimeout = std::chrono::milliseconds(1500);
 constexpr auto WatchGrace = std::chrono::milliseconds(1000);
+constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
 constexpr unsigned Ok = 200;
 constexpr unsigned NotReady = 503;
 
@@ -43,11 +45,17 @@
                                               .Timeout = StoreTimeout,
                                               .WatchGrace = WatchGrace}),
         Random(SystemRandom().next()),
+        Relay(
+            Store, Time, [this](const auto &it) { return connectTo(it); },
+            [this](const auto &it, const auto &why) {
+              Views.onParentLost(it, why);
+            }),
         Cold(s.InstanceName, {.Factor = s.ColdFactor, .Slack = s.ColdSlack}),
         Chooser(Known, Loads, Cold, Random, {.Own = s.DataCentre}),
         Decide(Known, Loads, Chooser),
-        Views({Store, Time, Random, Log}, *a.Records, Known, Cold,
-              {.InstanceName = s.InstanceName}),
+        Views(Time, Random, Log, Relay, *a.Records, Known, Cold,
+              {.Self = {s.InstanceName, s.DataCentre, s.Mirror, s.Strength},
+               .Seeds = s.Seeds}),
         Timer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP),
         HandshakeMs(Metrics.distribution("edge_handshake_milliseconds",
                                          "From an opening to its answer")) {}
@@ -56,6 +64,9 @@
 
 private:
   auto listen() -> absl::Status;
+  auto listenHttp(const Endpoint &at, const HttpHandler &h,
+                  std::unique_ptr<HttpServer> &out) -> absl::Status;
+  auto connectTo(const Endpoint &mirror) -> std::unique_ptr<PlatformClient>;
   auto onDatagram(std::span<std::byte> datagram) -> void;
   auto onDecision(const FlowPacket &p, const EdgeDecision &d,
                   std::span<std::byte> datagram) -> void;
@@ -76,6 +87,7 @@
   asio::io_context Io{1};
   HttpPlatform Store;
   SeededRandom Random;
+  RelayedPlatform Relay;
   Directory Known;
   Estimates Loads;
   ColdShare Cold;
@@ -89,6 +101,7 @@
   std::unique_ptr<DatagramSocket> Socket;
   std::unique_ptr<HttpServer> Readiness;
   std::unique_ptr<HttpServer> MetricsServer;
+  std::unique_ptr<HttpServer> MirrorServer;
   /// Resets of the batch in progress.
   std::array<PacketFormat::ResetBuffer, DatagramSocket::Batch> Resets{};
   std::size_t NextReset = 0;
@@ -120,22 +133,40 @@
   auto handler = [this](const HttpRequest &r, const HttpRespond &respond) {
     respond(answer(r));
   };
-  auto readiness = HttpServer::open(Io, Settings.Readiness, handler);
-  if (!readiness.ok())
-    return readiness.status();
-  Readiness = *std::move(readiness);
-  if (Settings.Metrics.Port != 0) {
-    auto metrics = HttpServer::open(Io, Settings.Metrics, handler);
-    if (metrics.ok())
-      MetricsServer = *std::move(metrics);
-    else
-      Log.write(events::PacketRefused,
-                {{"why", std::string(metrics.status().message())}});
-  }
+  if (auto s = listenHttp(Settings.Readiness, handler, Readiness); !s.ok())
+    return s;
+  // Neither of these is worth an end of service.
+  for (const auto &s :
+       {listenHttp(Settings.Metrics, handler, MetricsServer),
+        listenHttp(Settings.Mirror, makeMirrorApi(Views.mirror(), Time),
+                   MirrorServer)})
+    if (!s.ok())
+      Log.write(events::ListenFailed, {{"why", std::string(s.message())}});
   Socket->start([this](auto datagram, const auto &) { onDatagram(datagram); });
   return absl::OkStatus();
 }
 
+auto EdgeServer::listenHttp(const Endpoint &at, const HttpHandler &h,
+                            std::unique_ptr<HttpServer> &out) -> absl::Status {
+  if (at.Port == 0)
+    return absl::OkStatus();
+  auto server = HttpServer::open(Io, at, h);
+  if (!server.ok())
+    return server.status();
+  out = *std::move(server);
+  return absl::OkStatus();
+}
+
+auto EdgeServer::connectTo(const Endpoint &mirror)
+    -> std::unique_ptr<PlatformClient> {
+  HttpPlatformSettings settings{.Address = mirror};
+  if (!Views.isComplete())
+    settings.Dialect = std::make_shared<UnconfirmedDialect>();
+  settings.Timeout = MirrorTimeout;
+  settings.WatchGrace = MirrorTimeout;
+  return std::make_unique<HttpPlatform>(Io, std::move(settings));
+}
+
 auto EdgeServer::onDatagram(std::span<std::byte> datagram) -> void {
   FlowPacket p;
   if (!Adapter.Packets->decode(datagram, p)) {
@@ -226,7 +257,9 @@
   set("edge_packets_sent_total", "Datagrams", Socket->counts().Sent);
   set("edge_packets_send_failed_total", "Datagrams that the kernel refused",
       Socket->counts().SendFailed);
-  set("edge_store_calls_total", "Calls to the store", Views.calls());
+  set("edge_store_calls_total", "Calls to the store", Relay.storeCalls());
+  set("edge_mirror_calls_total", "Calls to other instances' mirrors",
+      Relay.parentCalls());
   set("edge_log_lines_left_out_total", "Log lines over a limit", Log.leftOut());
   Metrics.gauge("edge_upstreams", "Registered upstreams")
       .set(static_cast<double>(Known.size()));
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -26,6 +26,12 @@
   /// HTTP; port 0: no metrics are served.
   Endpoint Metrics;
   Endpoint Store;
+  /// HTTP, from other instances that read this one's views; port 0: none does.
+  Endpoint Mirror;
+  /// Mirrors of other instances, for a start without the store.
+  std::vector<Endpoint> Seeds;
+  /// Processor time that the process has, in thousandths of a core.
+  unsigned Strength = 0;
   /// The limit of a cold upstream: its rate times the factor plus the slack.
   double ColdFactor = 1;
   double ColdSlack = 0;
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -6,38 +6,85 @@
 
 namespace boragebridge {
 
-EdgeViews::EdgeViews(const WatcherContext &ctx, const RecordFormat &format,
+EdgeViews::EdgeViews(const Clock &time, RandomSource &random, EventLog &log,
+                     RelayedPlatform &relay, const RecordFormat &format,
                      Directory &dir, ColdShare &cold, EdgeViewsOptions opt)
-    : Ctx(ctx), Format(format), Known(dir), Cold(cold), Options(std::move(opt)),
-      Upstreams(ctx,
-                {.Prefix = format.upstreamPrefix(),
-                 .Wait = Options.WatchWait,
-                 .Gather = Options.Gather},
-                {[this](const auto &l) { onUpstreamList(l); },
-                 [this](const auto &l) { onUpstreamEvents(l); },
-                 [this](const auto &s) { onFailure(s); }}),
-      Configurations(ctx,
-                     {.Prefix = format.configurationPrefix(),
-                      .Wait = Options.WatchWait,
-                      .Gather = Options.Gather},
-                     {[this](const auto &l) { onConfiguration(l); },
-                      [this](const auto &l) { onConfiguration(l); },
-                      [this](const auto &s) { onFailure(s); }}),
-      Withdrawals(ctx,
-                  {.Prefix = format.withdrawalPrefix(),
-                   .Wait = Options.WatchWait,
-                   .Gather = Options.Gather},
-                  {[this](const auto &l) { onWithdrawalList(l); },
-                   [this](const auto &l) { onWithdrawalEvents(l); },
-                   [this](const auto &s) { onFailure(s); }}) {
-  Cold.waitUntil(Ctx.Time.now() + Options.RestartWait);
+    : Time(time), Log(log), Relay(relay), Format(format), Known(dir),
+      Cold(cold), Options(std::move(opt)), Tree(Options.Self),
+      Upstreams({relay, time, random, log},
+                makeOptions(format.upstreamPrefix()),
+                makeHandlers(format.upstreamPrefix(),
+                             {&EdgeViews::onUpstreamList,
+                              &EdgeViews::onUpstreamEvents})),
+      Configurations({relay, time, random, log},
+                     makeOptions(format.configurationPrefix()),
+                     makeHandlers(format.configurationPrefix(),
+                                  {&EdgeViews::onConfiguration,
+                                   &EdgeViews::onConfiguration})),
+      Withdrawals({relay, time, random, log},
+                  makeOptions(format.withdrawalPrefix()),
+                  makeHandlers(format.withdrawalPrefix(),
+                               {&EdgeViews::onWithdrawalList,
+                                &EdgeViews::onWithdrawalEvents})),
+      MemberWatch({relay, time, random, log},
+                  makeOptions(format.memberPrefix()),
+                  makeHandlers(
+                      format.memberPrefix(),
+                      {&EdgeViews::onMemberList, &EdgeViews::onMemberEvents})) {
+  Cold.waitUntil(Time.now() + Options.RestartWait);
+}
+
+auto EdgeViews::makeOptions(const std::string &prefix) const -> WatcherOptions {
+  return {.Prefix = prefix,
+          .Wait = Options.WatchWait,
+          .Gather = Options.Gather};
+}
+
+auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
+    -> WatcherHandlers {
+  return {[this, prefix, h](const ObjectList &l) {
+            Mirror.replace(prefix, l);
+            (this->*h.OnList)(l);
+          },
+          [this, prefix, h](const ObjectList &l) {
+            Mirror.apply(prefix, l);
+            (this->*h.OnEvents)(l);
+          },
+          [this, prefix](const absl::Status &s) {
+            // History that is gone is no failure of the store.
+            if (absl::IsOutOfRange(s))
+              return;
+            Mirror.setConfirmed(prefix, false);
+            Known.noteStoreFailure(Time.now());
+          },
+          [this, prefix] { Mirror.setConfirmed(prefix, true); }};
 }
 
 auto EdgeViews::tick(TimePoint now) -> void {
+  chooseParent(now);
   Upstreams.tick(now);
   Configurations.tick(now);
   Withdrawals.tick(now);
-  tickMembers(now);
+  MemberWatch.tick(now);
+  Mirror.tick(now);
+  registerSelf(now);
+}
+
+auto EdgeViews::chooseParent(TimePoint now) -> void {
+  if (MemberWatch.isKnown())
+    return Relay.setParent(Tree.parent(now));
+  // The store first; it has not answered when there was a failure.
+  if (MemberWatch.isReachable() || Options.Seeds.empty() || now < NextSeed)
+    return;
+  NextSeed = now + Options.SeedPause;
+  Relay.setParent(Options.Seeds[Seed++ % Options.Seeds.size()]);
+}
+
+auto EdgeViews::onParentLost(const Endpoint &address, const absl::Status &why)
+    -> void {
+  Log.write(events::ParentLost, {{"parent", toString(address)},
+                                 {"why", std::string(why.message())}});
+  Tree.markDown(address, Time.now());
 }
 
 auto EdgeViews::isComplete() const -> bool {
@@ -49,15 +96,10 @@
                          Withdrawals.confirmedAt()});
 }
 
-auto EdgeViews::calls() const -> std::uint64_t {
-  return Upstreams.calls() + Configurations.calls() + Withdrawals.calls() +
-         MemberCalls;
-}
-
 auto EdgeViews::decode(const StoredObject &o, UpstreamRecord &out) -> bool {
   auto r = Format.decodeUpstream(o);
   if (!r.ok()) {
-    Ctx.Log.write(events::RecordRefused,
+    Log.write(events::RecordRefused,
                   {{"key", o.Key},
                    {"version", std::to_string(o.Version)},
                    {"why", std::string(r.status().message())}});
@@ -73,19 +115,19 @@
   for (const auto &it : l.Events)
     if (decode(it.Object, record))
       all.push_back(record);
-  Known.replaceUpstreams(all, Ctx.Time.now());
+  Known.replaceUpstreams(all, Time.now());
   for (const auto &it : all)
     logUpstream(it);
 }
 
 auto EdgeViews::onUpstreamEvents(const ObjectList &l) -> void {
-  const auto now = Ctx.Time.now();
+  const auto now = Time.now();
   UpstreamRecord record;
   for (const auto &it : l.Events) {
     const auto name = nameInKey(it.Object.Key, Format.upstreamPrefix());
     if (it.Removed) {
       Known.removeUpstream(name, now);
-      Ctx.Log.write(
+      Log.write(
           events::UpstreamMissing,
           {{"upstream", name}, {"version", std::to_string(it.Object.Version)}});
     } else if (decode(it.Object, record)) {
@@ -101,7 +143,7 @@
 auto EdgeViews::logUpstream(const UpstreamRecord &r) -> void {
   const auto cold =
       std::chrono::duration_cast<std::chrono::milliseconds>(r.ColdFor).count();
-  Ctx.Log.write(events::UpstreamChanged,
+  Log.write(events::UpstreamChanged,
                 {{"upstream", r.Name},
                  {"address", toString(r.Address)},
                  {"draining", r.Draining ? "true" : "false"},
@@ -118,7 +160,7 @@
     if (absl::IsNotFound(c.status()))
       continue;
     if (!c.ok()) {
-      Ctx.Log.write(events::RecordRefused,
+      Log.write(events::RecordRefused,
                     {{"key", it.Object.Key},
                      {"version", std::to_string(it.Object.Version)},
                      {"why", std::string(c.status().message())}});
@@ -127,7 +169,7 @@
     const auto version = c->Version;
     const auto routes = c->Routes.size();
     if (Known.setConfiguration(*std::move(c)))
-      Ctx.Log.write(events::EdgeConfigurationInForce,
+      Log.write(events::EdgeConfigurationInForce,
                     {{"version", std::to_string(version)},
                      {"routes", std::to_string(routes)}});
   }
@@ -146,77 +188,75 @@
     else
       Withdrawn.insert(name);
   }
-  applyWithdrawals();
-}
-
-auto EdgeViews::applyWithdrawals() -> void {
   std::set<DataCentreId> ids;
   std::string names;
   for (const auto &it : Withdrawn) {
     ids.insert(idFromName<DataCentreId>(it));
     names += (names.empty() ? "" : ",") + it;
   }
-  Known.setWithdrawn(std::move(ids), Ctx.Time.now());
-  Ctx.Log.write(events::DataCentresWithdrawn, {{"data_centres", names}});
+  Known.setWithdrawn(std::move(ids), Time.now());
+  Log.write(events::DataCentresWithdrawn, {{"data_centres", names}});
 }
 
-auto EdgeViews::onFailure(const absl::Status &s) -> void {
-  if (!absl::IsOutOfRange(s))
-    Known.noteStoreFailure(Ctx.Time.now());
+auto EdgeViews::onMemberList(const ObjectList &l) -> void {
+  Members.clear();
+  OwnVersion = 0;
+  onMemberEvents(l);
+}
+
+auto EdgeViews::onMemberEvents(const ObjectList &l) -> void {
+  for (const auto &it : l.Events) {
+    const auto name = nameInKey(it.Object.Key, Format.memberPrefix());
+    if (name == Options.Self.Name)
+      OwnVersion = it.Removed ? 0 : it.Object.Version;
+    auto member = parseMember(name, it.Object.Value);
+    if (it.Removed)
+      Members.erase(name);
+    else if (member.ok())
+      Members[name] = *std::move(member);
+    else
+      Log.write(events::RecordRefused,
+                {{"key", it.Object.Key},
+                 {"version", std::to_string(it.Object.Version)},
+                 {"why", std::string(member.status().message())}});
+  }
+  std::vector<std::string> names;
+  std::vector<MemberRecord> records;
+  for (const auto &[name, it] : Members) {
+    names.push_back(name);
+    records.push_back(it);
+  }
+  Cold.setMembers(names);
+  Tree.setMembers(records);
 }
 
-auto EdgeViews::tickMembers(TimePoint now) -> void {
+auto EdgeViews::registerSelf(TimePoint now) -> void {
   // Views come first after a start.
-  if (MemberCallOpen || now < NextMemberCall || !isComplete())
+  if (Registering || now < NextRegister || !isComplete() ||
+      !MemberWatch.isKnown())
+    return;
+  const auto own = Members.find(Options.Self.Name);
+  if (own != Members.end() && own->second == Options.Self)
     return;
-  MemberCallOpen = true;
-  ++MemberCalls;
-  if (Registered)
-    listMembers();
-  else
-    registerSelf();
-}
-
-auto EdgeViews::registerSelf() -> void {
-  Ctx.Store.put(Format.memberPrefix() + Options.InstanceName, "{}", 0,
-                [this, alive = std::weak_ptr<bool>(Alive)](
-                    const absl::StatusOr<ObjectVersion> &r) {
-                  if (alive.expired())
-                    return;
-                  MemberCallOpen = false;
-                  const auto now = Ctx.Time.now();
-                  // It registered in an earlier lifetime, and all others know
-                  // it.
-                  const auto isKnown = absl::IsAborted(r.status());
-                  Registered = r.ok() || isKnown;
-                  NextMemberCall = Registered ? now : now + Options.MemberRetry;
-                  if (!Registered)
-                    return;
-                  if (!isKnown)
-                    Cold.waitUntil(now + Options.MemberInterval +
-                                   Options.MemberRetry);
-                  Ctx.Log.write(events::MemberRegistered,
-                                {{"known_before", isKnown ? "true" : "false"}});
-                });
-}
-
-auto EdgeViews::listMembers() -> void {
-  Ctx.Store.list(
-      Format.memberPrefix(), [this, alive = std::weak_ptr<bool>(Alive)](
-                                 const absl::StatusOr<ObjectList> &r) {
-        if (alive.expired())
-          return;
-        MemberCallOpen = false;
-        const auto now = Ctx.Time.now();
-        NextMemberCall =
-            now + (r.ok() ? Options.MemberInterval : Options.MemberRetry);
-        if (!r.ok())
-          return;
-        std::vector<std::string> names;
-        for (const auto &it : r->Events)
-          names.push_back(nameInKey(it.Object.Key, Format.memberPrefix()));
-        Cold.setMembers(names);
-      });
+  Registering = true;
+  NextRegister = now + Options.RegisterPause;
+  const auto isNew = OwnVersion == 0;
+  Relay.put(Format.memberPrefix() + Options.Self.Name,
+            formatMember(Options.Self), OwnVersion,
+            [this, isNew, alive = std::weak_ptr<bool>(Alive)](
+                const absl::StatusOr<ObjectVersion> &r) {
+              if (alive.expired())
+                return;
+              Registering = false;
+              const auto end = Time.now();
+              if (isNew)
+                Cold.waitUntil(end + Options.NewMemberWait);
+              Log.write(events::MemberRegistered,
+                        {{"new", isNew ? "true" : "false"},
+                         {"result", r.ok() ? "ok"
+                                           : std::string(
+                                                 r.status().message())}});
+            });
 }
 
 } // namespace boragebridge
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -1,7 +1,8 @@
 /// \file
-/// Keeps a Directory and a ColdShare up to date from the platform's store: one
-/// watch for each of upstreams, configuration and withdrawn data centres, and
-/// the list of instances that ever registered.
+/// Keeps a Directory and a ColdShare up to date: one watch for each of
+/// upstreams, configuration, withdrawn data centres and members. The calls go
+/// to the platform's store or to the mirror of a stronger instance of the data
+/// centre (relay_tree.h); this instance mirrors its own views for others.
 ///
 /// A record that cannot be read names no upstream and harms no other; it is
 /// logged. Free of sockets: runs on any PlatformClient. Not thread-safe.
@@ -10,72 +11,97 @@
 
 #include "edge/cold_share.h"
 #include "edge/edge_adapter.h"
+#include "edge/relay_tree.h"
+#include "store/object_mirror.h"
 #include "store/object_watcher.h"
+#include "store/relayed_platform.h"
 
 namespace boragebridge {
 
 struct EdgeViewsOptions {
-  /// This instance's name, under which it registers.
-  std::string InstanceName;
-  /// How long the store may hold a watch open. With the client's grace it
-  /// stays below the shortest time in which a change must be in force.
-  Duration WatchWait = std::chrono::milliseconds(2500);
-  Duration Gather = std::chrono::milliseconds(200);
-  /// Between two lists of the members.
-  Duration MemberInterval = std::chrono::seconds(20);
-  /// Between two attempts to register or to list, after a failure.
-  Duration MemberRetry = std::chrono::seconds(2);
-  /// No cold upstream gets a flow for so long after the start: an earlier
-  /// process of this instance may just have used its share.
+  /// What this instance puts on record of itself.
+  MemberRecord Self;
+  /// Mirrors to ask after a start while the store does not answer.
+  std::vector<Endpoint> Seeds;
+  /// How long the store may hold a watch open.
+  Duration WatchWait = std::chrono::seconds(5);
+  Duration Gather = std::chrono::milliseconds(250);
+  /// Between two attempts to register.
+  Duration RegisterPause = std::chrono::seconds(3);
+  /// How long another seed is tried.
+  Duration SeedPause = std::chrono::milliseconds(700);
+  /// A new instance opens no flow to a cold upstream for so long after it
+  /// registered, so that all others have counted it.
+  Duration NewMemberWait = std::chrono::seconds(20);
+  /// The same after a restart: an earlier process of this instance may just
+  /// have used its share.
   Duration RestartWait = std::chrono::milliseconds(1300);
 };
 
 class EdgeViews {
 public:
-  /// All references outlive the object.
-  EdgeViews(const WatcherContext &ctx, const RecordFormat &format,
-            Directory &dir, ColdShare &cold, EdgeViewsOptions opt);
+  /// \p store reads through \p relay. All references outlive the object.
+  EdgeViews(const Clock &time, RandomSource &random, EventLog &log,
+            RelayedPlatform &relay, const RecordFormat &format, Directory &dir,
+            ColdShare &cold, EdgeViewsOptions opt);
   EdgeViews(const EdgeViews &) = delete;
   auto operator=(const EdgeViews &) -> EdgeViews & = delete;
   ~EdgeViews() = default;
 
   /// Starts the calls that are due. Call every few tens of milliseconds.
   auto tick(TimePoint now) -> void;
+  /// The mirror at \p address did not answer.
+  auto onParentLost(const Endpoint &address, const absl::Status &why) -> void;
   /// Whether all of upstreams, configuration and withdrawn data centres are
   /// known.
   auto isComplete() const -> bool;
   /// Age of the oldest of the three views.
   auto age(TimePoint now) const -> Duration;
-  /// Calls to the store so far.
-  auto calls() const -> std::uint64_t;
+  /// For other instances.
+  auto mirror() -> ObjectMirror & { return Mirror; }
 
 private:
+  /// What is done with the objects of one prefix.
+  struct Handlers {
+    void (EdgeViews::*OnList)(const ObjectList &);
+    void (EdgeViews::*OnEvents)(const ObjectList &);
+  };
+
+  auto makeHandlers(const std::string &prefix, Handlers h) -> WatcherHandlers;
+  auto makeOptions(const std::string &prefix) const -> WatcherOptions;
   auto onUpstreamList(const ObjectList &l) -> void;
   auto onUpstreamEvents(const ObjectList &l) -> void;
   auto onConfiguration(const ObjectList &l) -> void;
   auto onWithdrawalList(const ObjectList &l) -> void;
   auto onWithdrawalEvents(const ObjectList &l) -> void;
-  auto onFailure(const absl::Status &s) -> void;
-  auto applyWithdrawals() -> void;
+  auto onMemberList(const ObjectList &l) -> void;
+  auto onMemberEvents(const ObjectList &l) -> void;
   auto logUpstream(const UpstreamRecord &r) -> void;
   auto decode(const StoredObject &o, UpstreamRecord &out) -> bool;
-  auto tickMembers(TimePoint now) -> void;
-  auto registerSelf() -> void;
-  auto listMembers() -> void;
+  auto chooseParent(TimePoint now) -> void;
+  auto registerSelf(TimePoint now) -> void;
 
-  WatcherContext Ctx;
+  const Clock &Time;
+  EventLog &Log;
+  RelayedPlatform &Relay;
   const RecordFormat &Format;
   Directory &Known;
   ColdShare &Cold;
   EdgeViewsOptions Options;
+  ObjectMirror Mirror;
+  RelayTree Tree;
   std::set<std::string> Withdrawn;
+  std::map<std::string, MemberRecord> Members;
   ObjectWatcher Upstreams;
   ObjectWatcher Configurations;
   ObjectWatcher Withdrawals;
-  bool Registered = false;
-  bool MemberCallOpen = false;
-  TimePoint NextMemberCall;
-  std::uint64_t MemberCalls = 0;
+  ObjectWatcher MemberWatch;
+  /// Version of this instance's own record; 0 when there is none.
+  ObjectVersion OwnVersion = 0;
+  bool Registering = false;
+  TimePoint NextRegister;
+  TimePoint NextSeed;
+  std::size_t Seed = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/src/edge/relay_tree.cpp
@@ -0,0 +1,67 @@
+#include "edge/relay_tree.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace boragebridge {
+
+namespace json = boost::json;
+
+auto formatMember(const MemberRecord &m) -> std::string {
+  return json::serialize(
+      json::object{{"address", toString(m.Address)},
+                   {"data_centre", raw(m.DataCentre)},
+                   {"strength", m.Strength}});
+}
+
+auto parseMember(const std::string &name, const std::string &text)
+    -> absl::StatusOr<MemberRecord> {
+  MemberRecord m;
+  m.Name = name;
+  try {
+    const auto v = json::parse(text);
+    if (!parseEndpoint(json::value_to<std::string>(v.at("address")), m.Address))
+      return absl::InvalidArgumentError(name + ": no address");
+    m.DataCentre =
+        DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
+    m.Strength = v.at("strength").to_number<unsigned>();
+    return m;
+  } catch (const std::exception &e) {
+    return absl::InvalidArgumentError(name + ": " + e.what());
+  }
+}
+
+auto RelayTree::setMembers(const std::vector<MemberRecord> &all) -> void {
+  Ranked.clear();
+  for (const auto &it : all)
+    if (it.DataCentre == Self.DataCentre && it.Name != Self.Name)
+      Ranked.push_back(it);
+  Ranked.push_back(Self);
+  std::sort(Ranked.begin(), Ranked.end(), [](const auto &a, const auto &b) {
+    return std::make_tuple(b.Strength, hashName(a.Name), a.Name) <
+           std::make_tuple(a.Strength, hashName(b.Name), b.Name);
+  });
+}
+
+auto RelayTree::markDown(const Endpoint &address, TimePoint now) -> void {
+  DownUntil[address] = now + Options.DownTime;
+}
+
+auto RelayTree::parent(TimePoint now) -> std::optional<Endpoint> {
+  std::erase_if(DownUntil, [&](const auto &it) { return it.second <= now; });
+  std::vector<const MemberRecord *> up;
+  for (const auto &it : Ranked) {
+    if (it.Name == Self.Name)
+      break;
+    if (!DownUntil.contains(it.Address))
+      up.push_back(&it);
+  }
+  // The members before this one are its rank; none: it is the root.
+  if (up.empty())
+    return std::nullopt;
+  return up[(up.size() - 1) / Options.Fanout]->Address;
+}
+
+} // namespace boragebridge
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -3,11 +3,28 @@
 
 #include "store/exchange_on_stream.h"
 
+#include <netinet/tcp.h>
+
 namespace boragebridge {
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+/// Makes a connection that went silent fail within about two seconds, also
+/// while it waits for an answer that may be long in coming.
+static auto setKeepAlive(asio::ip::tcp::socket &socket) -> void {
+  constexpr int IdleSeconds = 1;
+  constexpr int IntervalSeconds = 1;
+  constexpr int Probes = 1;
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  using asio::detail::socket_option::integer;
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(IdleSeconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(IntervalSeconds),
+                    ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(Probes), ignored);
+}
+
 auto connectTo(beast::tcp_stream &stream, const Endpoint &to)
     -> asio::awaitable<absl::Status> {
   beast::error_code ec;
@@ -17,6 +34,7 @@
                                 asio::redirect_error(asio::use_awaitable, ec));
   if (ec)
     co_return absl::UnavailableError(ec.message());
+  setKeepAlive(stream.socket());
   co_return absl::OkStatus();
 }
 
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -30,7 +30,8 @@
 }
 
 auto ObjectWatcher::startWatch() -> void {
-  Ctx.Store.watch(Options.Prefix, Version, Options.Wait,
+  Ctx.Store.watch(Options.Prefix, Version,
+                  Failures > 0 ? Options.FirstWait : Options.Wait,
                   [this, alive = std::weak_ptr<bool>(Alive)](
                       const absl::StatusOr<ObjectList> &r) {
                     if (!alive.expired())
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -37,7 +37,9 @@
 struct WatcherOptions {
   std::string Prefix;
   /// How long the store may hold a watch open.
-  Duration Wait = std::chrono::milliseconds(2500);
+  Duration Wait = std::chrono::seconds(5);
+  /// The same after a failure, to learn soon that the store is back.
+  Duration FirstWait = std::chrono::milliseconds(100);
   /// After events, so long passes before the next watch: those that come
   /// meanwhile arrive with one call.
   Duration Gather = std::chrono::milliseconds(200);
@@ -52,6 +54,9 @@
   std::function<void(const ObjectList &)> OnEvents;
   /// A call failed.
   std::function<void(const absl::Status &)> OnFailure;
+  /// The first answer after a failure, before what it holds is delivered. May
+  /// be empty.
+  std::function<void()> OnRegained = {};
 };
 
 class ObjectWatcher {
--- /dev/null
+++ b/src/store/relayed_platform.cpp
@@ -0,0 +1,92 @@
+#include "store/relayed_platform.h"
+
+#include <algorithm>
+
+namespace boragebridge {
+
+RelayedPlatform::RelayedPlatform(PlatformClient &store, const Clock &time,
+                                 Connect connect, OnLost lost, RelayOptions opt)
+    : Store(store), Time(time), MakeClient(std::move(connect)),
+      Lost(std::move(lost)), Options(opt) {}
+
+auto RelayedPlatform::setParent(std::optional<Endpoint> parent) -> void {
+  if (parent == Parent)
+    return;
+  Parent = parent;
+  ParentClient = parent ? MakeClient(*parent) : nullptr;
+  NotBefore = {};
+}
+
+auto RelayedPlatform::hasParent() const -> bool {
+  return ParentClient != nullptr && Time.now() >= NotBefore;
+}
+
+auto RelayedPlatform::orFromStore(Callback<ObjectList> done, Retry retry)
+    -> Callback<ObjectList> {
+  // The client is kept until the call ends: it drops calls when it goes.
+  return [this, alive = std::weak_ptr<bool>(Alive), client = ParentClient,
+          parent = *Parent, done = std::move(done),
+          retry = std::move(retry)](absl::StatusOr<ObjectList> r) mutable {
+    if (alive.expired())
+      return;
+    if (r.ok() || absl::IsOutOfRange(r.status()))
+      return done(std::move(r));
+    if (Parent == parent)
+      NotBefore = Time.now() + Options.ParentPause;
+    Lost(parent, r.status());
+    ++StoreCalls;
+    retry(std::move(done));
+  };
+}
+
+auto RelayedPlatform::list(std::string prefix, Callback<ObjectList> done)
+    -> void {
+  if (!hasParent()) {
+    ++StoreCalls;
+    return Store.list(std::move(prefix), std::move(done));
+  }
+  ++ParentCalls;
+  auto client = ParentClient;
+  client->list(prefix, orFromStore(std::move(done),
+                                   [this, prefix](Callback<ObjectList> f) {
+                                     Store.list(prefix, std::move(f));
+                                   }));
+}
+
+auto RelayedPlatform::watch(std::string prefix, ObjectVersion after,
+                            Duration wait, Callback<ObjectList> done) -> void {
+  if (!hasParent()) {
+    ++StoreCalls;
+    return Store.watch(std::move(prefix), after, wait, std::move(done));
+  }
+  ++ParentCalls;
+  auto client = ParentClient;
+  client->watch(prefix, after, std::min(wait, Options.ParentWait),
+                orFromStore(std::move(done),
+                            [this, prefix, after](Callback<ObjectList> f) {
+                              // A short one, to learn soon what was missed.
+                              Store.watch(prefix, after, Options.ParentWait,
+                                          std::move(f));
+                            }));
+}
+
+auto RelayedPlatform::get(std::string key, Callback<StoredObject> done)
+    -> void {
+  ++StoreCalls;
+  Store.get(std::move(key), std::move(done));
+}
+
+auto RelayedPlatform::put(std::string key, std::string value,
+                          ObjectVersion expected, Callback<ObjectVersion> done)
+    -> void {
+  ++StoreCalls;
+  Store.put(std::move(key), std::move(value), expected, std::move(done));
+}
+
+auto RelayedPlatform::remove(std::string key, ObjectVersion expected,
+                             Callback<ObjectVersion> done) -> void {
+  ++StoreCalls;
+  Store.remove(std::move(key), expected, std::move(done));
+}
+
+} // namespace boragebridge
--- /dev/null
+++ b/src/store/relayed_platform.h
@@ -0,0 +1,80 @@
+/// \file
+/// Decorates a PlatformClient: lists and watches go to a parent's mirror where
+/// there is one, everything else to the store itself. A call that the parent
+/// does not answer goes to the store at once, and the parent is left alone for
+/// a while.
+#ifndef BORAGEBRIDGE_STORE_RELAYED_PLATFORM_H
+#define BORAGEBRIDGE_STORE_RELAYED_PLATFORM_H
+
+#include "boragebridge/clock.h"
+#include "boragebridge/platform_client.h"
+
+#include <memory>
+#include <optional>
+
+namespace boragebridge {
+
+struct RelayOptions {
+  /// Longest wait of a watch at a parent: a parent that froze is found out
+  /// after this and the client's grace.
+  Duration ParentWait = std::chrono::milliseconds(800);
+  /// How long a parent that failed is left alone.
+  Duration ParentPause = std::chrono::seconds(3);
+};
+
+/// Not thread-safe. Callbacks may run from within the calls of the clients
+/// that it is given.
+class RelayedPlatform final : public PlatformClient {
+public:
+  /// Makes the client of the mirror at an address.
+  using Connect =
+      std::function<std::unique_ptr<PlatformClient>(const Endpoint &)>;
+  /// Told when a parent is found not to answer.
+  using OnLost = std::function<void(const Endpoint &, const absl::Status &)>;
+
+  /// \p store and \p time outlive the object.
+  RelayedPlatform(PlatformClient &store, const Clock &time, Connect connect,
+                  OnLost lost, RelayOptions opt = {});
+
+  /// Reads from \p parent from the next call on; nothing: from the store.
+  auto setParent(std::optional<Endpoint> parent) -> void;
+
+  auto get(std::string key, Callback<StoredObject> done) -> void override;
+  auto list(std::string prefix, Callback<ObjectList> done) -> void override;
+  auto put(std::string key, std::string value, ObjectVersion expected,
+           Callback<ObjectVersion> done) -> void override;
+  auto remove(std::string key, ObjectVersion expected,
+              Callback<ObjectVersion> done) -> void override;
+  auto watch(std::string prefix, ObjectVersion after, Duration wait,
+             Callback<ObjectList> done) -> void override;
+
+  /// Calls that went to the store, and to parents.
+  auto storeCalls() const -> std::uint64_t { return StoreCalls; }
+  auto parentCalls() const -> std::uint64_t { return ParentCalls; }
+  /// Whether the next list or watch goes to a parent.
+  auto hasParent() const -> bool;
+
+private:
+  using Retry = std::function<void(Callback<ObjectList>)>;
+
+  /// Passes on what the parent answered; \p retry asks the store instead.
+  auto orFromStore(Callback<ObjectList> done, Retry retry)
+      -> Callback<ObjectList>;
+
+  PlatformClient &Store;
+  const Clock &Time;
+  Connect MakeClient;
+  OnLost Lost;
+  RelayOptions Options;
+  std::optional<Endpoint> Parent;
+  /// Shared, so that a client that is replaced lives until its calls end.
+  std::shared_ptr<PlatformClient> ParentClient;
+  TimePoint NotBefore;
+  std::uint64_t StoreCalls = 0;
+  std::uint64_t ParentCalls = 0;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace boragebridge
+
+#endif
--- a/src/store/store_dialect.cpp
+++ b/src/store/store_dialect.cpp
@@ -64,4 +64,11 @@
   return boragebridge::parseVersion(body);
 }
 
+auto UnconfirmedDialect::list(const std::string &prefix,
+                              const std::string &next) const -> StoreRequest {
+  auto request = NativeDialect::list(prefix, next);
+  request.Target += "&unconfirmed=1";
+  return request;
+}
+
 } // namespace boragebridge
--- a/src/store/store_dialect.h
+++ b/src/store/store_dialect.h
@@ -62,7 +62,7 @@
 };
 
 /// The product's own object API.
-class NativeDialect final : public StoreDialect {
+class NativeDialect : public StoreDialect {
 public:
   auto get(const std::string &key) const -> StoreRequest override;
   auto list(const std::string &prefix, const std::string &next) const
@@ -81,6 +81,13 @@
       -> absl::StatusOr<ObjectVersion> override;
 };
 
+/// The API of a mirror, for a reader that takes an unconfirmed view as well.
+class UnconfirmedDialect final : public NativeDialect {
+public:
+  auto list(const std::string &prefix, const std::string &next) const
+      -> StoreRequest override;
+};
+
 } // namespace boragebridge
 
 #endif
--- a/tools/boragebridge_platform_standin.cpp
+++ b/tools/boragebridge_platform_standin.cpp
@@ -13,13 +13,11 @@
 #include "logging/process_log.h"
 #include "net/http_server.h"
 #include "net/object_json.h"
+#include "net/url_target.h"
 #include "process/program.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
-#include <boost/url/parse.hpp>
-
-#include <charconv>
 
 namespace boragebridge {
 
@@ -60,36 +58,6 @@
 constexpr auto PollInterval = std::chrono::milliseconds(10);
 constexpr std::string_view ObjectsPath = "/v1/objects";
 
-/// The parts of a request's target.
-struct Target {
-  std::string Path;
-  std::map<std::string, std::string> Query;
-
-  auto number(const std::string &name) const -> std::uint64_t {
-    std::uint64_t n = 0;
-    auto it = Query.find(name);
-    if (it != Query.end())
-      std::from_chars(it->second.data(), it->second.data() + it->second.size(),
-                      n);
-    return n;
-  }
-  auto text(const std::string &name) const -> std::string {
-    auto it = Query.find(name);
-    return it == Query.end() ? "" : it->second;
-  }
-};
-
-auto parseTarget(const std::string &s) -> Target {
-  Target out;
-  auto url = boost::urls::parse_origin_form(s);
-  if (!url)
-    return out;
-  out.Path = decodeUrlText(std::string(url->encoded_path()));
-  for (auto it : url->params())
-    out.Query[it.key] = it.value;
-  return out;
-}
-
 auto toHttpStatus(const absl::Status &s) -> unsigned {
   switch (s.code()) {
   case absl::StatusCode::kNotFound:
@@ -113,7 +81,7 @@
   }
 
   auto handle(const HttpRequest &r, const HttpRespond &respond) -> void {
-    const auto target = parseTarget(r.Target);
+    const auto target = parseUrlTarget(r.Target);
     if (target.Path == "/state")
       return respond({200, "application/json", dump(), {}});
     if (target.Path == "/standin/faults")
@@ -128,7 +96,7 @@
   }
 
 private:
-  auto setFault(const Target &t, const HttpRespond &respond) -> void {
+  auto setFault(const UrlTarget &t, const HttpRespond &respond) -> void {
     const auto mode = t.text("mode");
     for (const auto &it : FaultNames)
       if (it.Name == mode) {
@@ -138,7 +106,7 @@
     respond({400, "text/plain", "unknown mode '" + mode + "'\n", {}});
   }
 
-  auto callStore(const HttpRequest &r, const Target &t) -> HttpResponse {
+  auto callStore(const HttpRequest &r, const UrlTarget &t) -> HttpResponse {
     if (t.Path == ObjectsPath && r.Method == "GET")
       return toResponse(Store.list(t.text("prefix")), formatObjectList);
     if (!t.Path.starts_with(std::string(ObjectsPath) + "/"))
@@ -175,7 +143,7 @@
     return toResponse(v, formatVersion);
   }
 
-  auto watch(const Target &t, const HttpRespond &respond) -> void {
+  auto watch(const UrlTarget &t, const HttpRespond &respond) -> void {
     if (Mode == Fault::SilentWatches)
       return hold(respond);
     const auto wait = std::chrono::milliseconds(t.number("wait_ms"));
