Offer views to instances that start without the store; tell dark upstreams safely

Instances that have views and no store now offer them to their data centre. Now only flows that wait over 500 ms count, several within 1.5 s, while others of this instance are answered promptly. Load and loss were ruled out by the log: all resets came from upstream_dark, at instances with the smallest links.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -7,6 +7,7 @@
 #include "logging/process_events.h"
 #include "logging/stream_log.h"
 #include "net/datagram_socket.h"
+#include "net/http_client.h"
 #include "net/http_server.h"
 #include "store/http_platform.h"
 #include "store/mirror_api.h"
@@ -27,6 +28,8 @@
 constexpr auto StoreTimeout = std::chrono::milliseconds(1500);
 constexpr auto WatchGrace = std::chrono::milliseconds(1000);
 constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
+/// Where an instance offers its mirror; the body is the mirror's address.
+constexpr auto SeedPath = "/v1/seed";
 constexpr unsigned Ok = 200;
 constexpr unsigned NotReady = 503;
 
@@ -46,7 +49,8 @@
                                               .WatchGrace = WatchGrace}),
         Random(SystemRandom().next()),
         Relay(
-            Store, Time, [this](const auto &it) { return connectTo(it); },
+            Store, Time,
+            [this](const auto &it, auto view) { return connectTo(it, view); },
             [this](const auto &it, const auto &why) {
               Views.onParentLost(it, why);
             }),
@@ -66,7 +70,11 @@
   auto listen() -> absl::Status;
   auto listenHttp(const Endpoint &at, const HttpHandler &h,
                   std::unique_ptr<HttpServer> &out) -> absl::Status;
-  auto connectTo(const Endpoint &mirror) -> std::unique_ptr<PlatformClient>;
+  auto connectTo(const Endpoint &mirror, MirrorView view)
+      -> std::unique_ptr<PlatformClient>;
+  /// What other instances ask of this one.
+  auto makePeerApi() -> HttpHandler;
+  auto offerViews() -> void;
   auto onDatagram(std::span<std::byte> datagram) -> void;
   auto onDecision(const FlowPacket &p, const EdgeDecision &d,
                   std::span<std::byte> datagram) -> void;
@@ -138,8 +146,7 @@
   // Neither of these is worth an end of service.
   for (const auto &s :
        {listenHttp(Settings.Metrics, handler, MetricsServer),
-        listenHttp(Settings.Mirror, makeMirrorApi(Views.mirror(), Time),
-                   MirrorServer)})
+        listenHttp(Settings.Mirror, makePeerApi(), MirrorServer)})
     if (!s.ok())
       Log.write(events::ListenFailed, {{"why", std::string(s.message())}});
   Socket->start([this](auto datagram, const auto &) { onDatagram(datagram); });
@@ -157,16 +164,43 @@
   return absl::OkStatus();
 }
 
-auto EdgeServer::connectTo(const Endpoint &mirror)
+auto EdgeServer::connectTo(const Endpoint &mirror, MirrorView view)
     -> std::unique_ptr<PlatformClient> {
   HttpPlatformSettings settings{.Address = mirror};
-  if (!Views.isComplete())
+  if (view == MirrorView::Any)
     settings.Dialect = std::make_shared<UnconfirmedDialect>();
   settings.Timeout = MirrorTimeout;
   settings.WatchGrace = MirrorTimeout;
   return std::make_unique<HttpPlatform>(Io, std::move(settings));
 }
 
+auto EdgeServer::makePeerApi() -> HttpHandler {
+  return [this, mirror = makeMirrorApi(Views.mirror(), Time)](
+             const HttpRequest &r, const HttpRespond &respond) {
+    if (r.Method != "POST" || r.Target != SeedPath)
+      return mirror(r, respond);
+    Endpoint address;
+    if (!parseEndpoint(r.Body, address))
+      return respond({static_cast<unsigned>(HttpStatus::BadRequest),
+                      "text/plain",
+                      "no address\n",
+                      {}});
+    Views.onSeedOffered(address);
+    respond({Ok, "text/plain", "", {}});
+  };
+}
+
+auto EdgeServer::offerViews() -> void {
+  for (const auto &it : Views.nextOffers(Now))
+    // Whether it arrives does not matter: the next round offers again.
+    httpCall(Io, it,
+             {.Method = "POST",
+              .Target = SeedPath,
+              .Body = toString(Settings.Mirror),
+              .Headers = {}},
+             MirrorTimeout, [](const auto &) {});
+}
+
 auto EdgeServer::onDatagram(std::span<std::byte> datagram) -> void {
   FlowPacket p;
   if (!Adapter.Packets->decode(datagram, p)) {
@@ -282,6 +316,7 @@
   Now = Time.now();
   Decide.tick(Now);
   Views.tick(Now);
+  offerViews();
   if (Now - Expired >= ExpireInterval) {
     Known.expire(Now);
     Expired = Now;
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -26,18 +26,20 @@
                   makeHandlers(format.withdrawalPrefix(),
                                {&EdgeViews::onWithdrawalList,
                                 &EdgeViews::onWithdrawalEvents})),
-      MemberWatch({relay, time, random, log},
-                  makeOptions(format.memberPrefix()),
-                  makeHandlers(
-                      format.memberPrefix(),
-                      {&EdgeViews::onMemberList, &EdgeViews::onMemberEvents})) {
+      MemberWatch(
+          {relay, time, random, log}, makeOptions(format.memberPrefix()),
+          makeHandlers(format.memberPrefix(),
+                       {&EdgeViews::onMemberList, &EdgeViews::onMemberEvents})),
+      Watchers{{format.upstreamPrefix(), &Upstreams},
+               {format.configurationPrefix(), &Configurations},
+               {format.withdrawalPrefix(), &Withdrawals},
+               {format.memberPrefix(), &MemberWatch}} {
   Cold.waitUntil(Time.now() + Options.RestartWait);
 }
 
 auto EdgeViews::makeOptions(const std::string &prefix) const -> WatcherOptions {
-  return {.Prefix = prefix,
-          .Wait = Options.WatchWait,
-          .Gather = Options.Gather};
+  return {
+      .Prefix = prefix, .Wait = Options.WatchWait, .Gather = Options.Gather};
 }
 
 auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
@@ -61,23 +63,64 @@
 }
 
 auto EdgeViews::tick(TimePoint now) -> void {
-  chooseParent(now);
-  Upstreams.tick(now);
-  Configurations.tick(now);
-  Withdrawals.tick(now);
-  MemberWatch.tick(now);
+  if (isComplete())
+    SeedClients.clear();
+  askSeeds(now);
+  if (MemberWatch.isKnown())
+    Relay.setParent(Tree.parent(now));
+  for (const auto &it : Watchers)
+    it.second->tick(now);
   Mirror.tick(now);
   registerSelf(now);
 }
 
-auto EdgeViews::chooseParent(TimePoint now) -> void {
-  if (MemberWatch.isKnown())
-    return Relay.setParent(Tree.parent(now));
-  // The store first; it has not answered when there was a failure.
-  if (MemberWatch.isReachable() || Options.Seeds.empty() || now < NextSeed)
+auto EdgeViews::isStoreReachable() const -> bool {
+  return std::all_of(Watchers.begin(), Watchers.end(),
+                     [](const auto &it) { return it.second->isReachable(); });
+}
+
+auto EdgeViews::askSeeds(TimePoint now) -> void {
+  if (isComplete() || Options.Seeds.empty() || now < NextSeed)
     return;
+  // The store comes first.
+  if (NextSeed != TimePoint{})
+    adoptFrom(Options.Seeds[Seed++ % Options.Seeds.size()]);
   NextSeed = now + Options.SeedPause;
-  Relay.setParent(Options.Seeds[Seed++ % Options.Seeds.size()]);
+}
+
+auto EdgeViews::onSeedOffered(const Endpoint &address) -> void {
+  if (!isComplete())
+    adoptFrom(address);
+}
+
+auto EdgeViews::adoptFrom(const Endpoint &address) -> void {
+  auto &client = *SeedClients.emplace_back(Relay.connect(address));
+  for (const auto &it : Watchers) {
+    const auto &prefix = it.first;
+    auto *watcher = it.second;
+    client.list(prefix, [this, prefix, watcher, address,
+                         alive = std::weak_ptr<bool>(Alive)](
+                            const absl::StatusOr<ObjectList> &r) {
+      if (alive.expired() || !r.ok() || !watcher->adopt(*r))
+        return;
+      Mirror.setConfirmed(prefix, false);
+      Log.write(events::ViewAdopted,
+                {{"prefix", prefix},
+                 {"from", toString(address)},
+                 {"version", std::to_string(r->CurrentVersion)}});
+    });
+  }
+}
+
+auto EdgeViews::nextOffers(TimePoint now) -> std::vector<Endpoint> {
+  if (now < NextOffer || !isComplete() || isStoreReachable())
+    return {};
+  NextOffer = now + Options.SeedPause;
+  std::vector<Endpoint> out;
+  for (const auto &[name, it] : Members)
+    if (name != Options.Self.Name && it.DataCentre == Options.Self.DataCentre)
+      out.push_back(it.Address);
+  return out;
 }
 
 auto EdgeViews::onParentLost(const Endpoint &address, const absl::Status &why)
@@ -100,9 +143,9 @@
   auto r = Format.decodeUpstream(o);
   if (!r.ok()) {
     Log.write(events::RecordRefused,
-                  {{"key", o.Key},
-                   {"version", std::to_string(o.Version)},
-                   {"why", std::string(r.status().message())}});
+              {{"key", o.Key},
+               {"version", std::to_string(o.Version)},
+               {"why", std::string(r.status().message())}});
     return false;
   }
   out = *std::move(r);
@@ -144,12 +187,12 @@
   const auto cold =
       std::chrono::duration_cast<std::chrono::milliseconds>(r.ColdFor).count();
   Log.write(events::UpstreamChanged,
-                {{"upstream", r.Name},
-                 {"address", toString(r.Address)},
-                 {"draining", r.Draining ? "true" : "false"},
-                 {"cold_ms", std::to_string(cold)},
-                 {"tag", std::to_string(static_cast<std::uint32_t>(
-                             tagOf(r.Name, r.StartedAt)))}});
+            {{"upstream", r.Name},
+             {"address", toString(r.Address)},
+             {"draining", r.Draining ? "true" : "false"},
+             {"cold_ms", std::to_string(cold)},
+             {"tag", std::to_string(static_cast<std::uint32_t>(
+                         tagOf(r.Name, r.StartedAt)))}});
 }
 
 auto EdgeViews::onConfiguration(const ObjectList &l) -> void {
@@ -161,17 +204,17 @@
       continue;
     if (!c.ok()) {
       Log.write(events::RecordRefused,
-                    {{"key", it.Object.Key},
-                     {"version", std::to_string(it.Object.Version)},
-                     {"why", std::string(c.status().message())}});
+                {{"key", it.Object.Key},
+                 {"version", std::to_string(it.Object.Version)},
+                 {"why", std::string(c.status().message())}});
       continue;
     }
     const auto version = c->Version;
     const auto routes = c->Routes.size();
     if (Known.setConfiguration(*std::move(c)))
       Log.write(events::EdgeConfigurationInForce,
-                    {{"version", std::to_string(version)},
-                     {"routes", std::to_string(routes)}});
+                {{"version", std::to_string(version)},
+                 {"routes", std::to_string(routes)}});
   }
 }
 
@@ -253,9 +296,8 @@
                 Cold.waitUntil(end + Options.NewMemberWait);
               Log.write(events::MemberRegistered,
                         {{"new", isNew ? "true" : "false"},
-                         {"result", r.ok() ? "ok"
-                                           : std::string(
-                                                 r.status().message())}});
+                         {"result",
+                          r.ok() ? "ok" : std::string(r.status().message())}});
             });
 }
 
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -22,14 +22,14 @@
   /// What this instance puts on record of itself.
   MemberRecord Self;
   /// Mirrors to ask after a start while the store does not answer.
-  std::vector<Endpoint> Seeds;
+  std::vector<Endpoint> Seeds = {};
   /// How long the store may hold a watch open.
   Duration WatchWait = std::chrono::seconds(5);
   Duration Gather = std::chrono::milliseconds(250);
   /// Between two attempts to register.
   Duration RegisterPause = std::chrono::seconds(3);
-  /// How long another seed is tried.
-  Duration SeedPause = std::chrono::milliseconds(700);
+  /// Between two seeds that are asked, and between two rounds of offers.
+  Duration SeedPause = std::chrono::milliseconds(400);
   /// A new instance opens no flow to a cold upstream for so long after it
   /// registered, so that all others have counted it.
   Duration NewMemberWait = std::chrono::seconds(20);
@@ -52,6 +52,13 @@
   auto tick(TimePoint now) -> void;
   /// The mirror at \p address did not answer.
   auto onParentLost(const Endpoint &address, const absl::Status &why) -> void;
+  /// An instance offers its mirror, at \p address, to those that start without
+  /// the store.
+  auto onSeedOffered(const Endpoint &address) -> void;
+  /// To whom this instance should offer its mirror now: the others of its data
+  /// centre, while the store does not answer. One of them may have to start,
+  /// and would know nobody.
+  auto nextOffers(TimePoint now) -> std::vector<Endpoint>;
   /// Whether all of upstreams, configuration and withdrawn data centres are
   /// known.
   auto isComplete() const -> bool;
@@ -78,7 +85,11 @@
   auto onMemberEvents(const ObjectList &l) -> void;
   auto logUpstream(const UpstreamRecord &r) -> void;
   auto decode(const StoredObject &o, UpstreamRecord &out) -> bool;
-  auto chooseParent(TimePoint now) -> void;
+  auto askSeeds(TimePoint now) -> void;
+  /// Takes the views that the mirror at \p address has for those that the
+  /// store has not given yet.
+  auto adoptFrom(const Endpoint &address) -> void;
+  auto isStoreReachable() const -> bool;
   auto registerSelf(TimePoint now) -> void;
 
   const Clock &Time;
@@ -96,12 +107,18 @@
   ObjectWatcher Configurations;
   ObjectWatcher Withdrawals;
   ObjectWatcher MemberWatch;
+  /// All four, by prefix.
+  const std::map<std::string, ObjectWatcher *> Watchers;
   /// Version of this instance's own record; 0 when there is none.
   ObjectVersion OwnVersion = 0;
   bool Registering = false;
   TimePoint NextRegister;
   TimePoint NextSeed;
   std::size_t Seed = 0;
+  TimePoint NextOffer;
+  /// Of the mirrors that were asked for their views; dropped with their calls
+  /// once the views are known.
+  std::vector<std::unique_ptr<PlatformClient>> SeedClients;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/edge/estimates.cpp
+++ b/src/edge/estimates.cpp
@@ -40,9 +40,17 @@
          std::exp(-Seconds(now - e->LoadAt) / Seconds(Options.LoadMemory));
 }
 
+auto Estimates::onAnswered(const Upstream &u, Duration took, TimePoint now)
+    -> void {
+  if (took <= Options.PromptAnswer)
+    Prompt = {Prompt.back(), now};
+  onProgress(u, now);
+}
+
 auto Estimates::onProgress(const Upstream &u, TimePoint now) -> void {
   auto &e = entry(u);
   e.ProgressAt = now;
+  e.Waiting = 0;
   if (e.Strikes == 0 && DataCentres.empty())
     return;
   e.Strikes = 0;
@@ -64,13 +72,11 @@
   return std::min(d, Options.MaxAvoidance);
 }
 
-auto Estimates::onStrike(const Upstream &u, TimePoint struckAt, TimePoint now)
-    -> void {
-  auto &e = entry(u);
-  if (struckAt > e.ProgressAt && e.Strikes > 0)
-    return;
-  if (++e.Strikes == 1)
-    e.FirstStrike = now;
+auto Estimates::strike(const Upstream &u, Entry &e, TimePoint now) -> void {
+  if (now - e.LastStrike > Options.StrikeMemory)
+    e.Strikes = 0;
+  ++e.Strikes;
+  e.LastStrike = now;
   e.AvoidUntil = now + avoidance(e.Strikes);
   auto &d = DataCentres[raw(u.Record.DataCentre)];
   if (e.Strikes == 1)
@@ -79,6 +85,29 @@
     d.AvoidUntil = std::max(d.AvoidUntil, e.AvoidUntil);
 }
 
+auto Estimates::onUnanswered(const Upstream &u, TimePoint now) -> void {
+  strike(u, entry(u), now);
+}
+
+auto Estimates::onRepeat(const Upstream &u, TimePoint first, TimePoint before,
+                         TimePoint now) -> void {
+  auto &e = entry(u);
+  // One strike for each flow as long as nothing makes progress.
+  if (before <= e.ProgressAt)
+    strike(u, e, now);
+  const auto isFirstLateOne =
+      now - first >= Options.DarkTime && before - first < Options.DarkTime;
+  if (isFirstLateOne && now - Prompt.front() <= Options.PromptWindow)
+    noteWaiting(e, now);
+}
+
+auto Estimates::noteWaiting(Entry &e, TimePoint now) -> void {
+  if (e.Waiting > 0 && now - e.FirstWaiting > Options.DarkWindow)
+    e.Waiting = 0;
+  if (++e.Waiting == 1)
+    e.FirstWaiting = now;
+}
+
 auto Estimates::onTrial(const Upstream &u, TimePoint now) -> void {
   auto &e = entry(u);
   const auto until = now + avoidance(std::max(e.Strikes, 1U));
@@ -91,6 +120,7 @@
 auto Estimates::forgetStrikes() -> void {
   for (auto &it : Entries) {
     it.Strikes = 0;
+    it.Waiting = 0;
     it.AvoidUntil = {};
   }
   DataCentres.clear();
@@ -114,8 +144,8 @@
 
 auto Estimates::isDark(const Upstream &u, TimePoint now) const -> bool {
   const auto *e = find(u);
-  return e != nullptr && e->Strikes >= Options.DarkStrikes &&
-         now - e->FirstStrike >= Options.DarkTime;
+  return e != nullptr && e->Waiting >= Options.DarkFlows &&
+         now - e->FirstWaiting <= Options.MaxAvoidance;
 }
 
 auto Estimates::expectedTime(const Upstream &u, TimePoint now) const
@@ -124,8 +154,8 @@
   const auto response = e == nullptr ? Seconds(Options.FirstResponseTime)
                                      : Seconds(e->ResponseSeconds);
   // The part of the recent requests that the upstream still works on.
-  const auto working = load(u, now) * Options.Senders *
-                       (response / Seconds(Options.LoadMemory));
+  const auto working =
+      load(u, now) * Options.Senders * (response / Seconds(Options.LoadMemory));
   const auto waiting = working / static_cast<double>(u.Record.Slots);
   return std::chrono::duration_cast<Duration>(response * (1 + waiting));
 }
--- a/src/edge/estimates.h
+++ b/src/edge/estimates.h
@@ -2,11 +2,15 @@
 /// What callers' packets tell of upstreams: how loaded they are, how fast they
 /// answer, and whether they answer at all.
 ///
-/// A strike is an opening packet that no later packet of its flow followed in
-/// time, or data that a caller had to send again; one a flow. Any progress of
-/// any flow of the upstream clears its strikes. After a strike the upstream is
-/// avoided for a while that doubles with each further one; then a single flow
-/// tries it.
+/// Two kinds of evidence speak against an upstream:
+///  - an opening packet that no later packet of its flow followed in time. The
+///    later packet may have gone through another instance, so this only turns
+///    new flows away: the upstream is avoided for a while that doubles with
+///    each further strike, then a single flow tries it;
+///  - data that a caller sent again after this instance had sent it on. When
+///    several flows get no answer for long, while others of this instance are
+///    answered promptly, their upstream is dark.
+/// Any progress of any flow of the upstream clears both.
 ///
 /// Answers load of up to tens of thousands of openings a second: each call is
 /// of constant time. Free of I/O; not thread-safe.
@@ -15,6 +19,8 @@
 
 #include "edge/directory.h"
 
+#include <array>
+
 namespace boragebridge {
 
 struct EstimateOptions {
@@ -31,10 +37,19 @@
   /// Avoidance after the first strike, and its limit.
   Duration FirstAvoidance = std::chrono::milliseconds(400);
   Duration MaxAvoidance = std::chrono::seconds(3);
-  /// An upstream is dark after strikes of so many flows and so long a time
-  /// since the first of them, with no sign of life.
-  unsigned DarkStrikes = 3;
-  Duration DarkTime = std::chrono::milliseconds(350);
+  /// Strikes further back than this are forgotten.
+  Duration StrikeMemory = std::chrono::seconds(6);
+  /// An upstream is dark when so many flows wait for longer than DarkTime
+  /// within DarkWindow, with no sign of life. DarkTime is beyond the first
+  /// repetition of a caller.
+  unsigned DarkFlows = 3;
+  Duration DarkTime = std::chrono::milliseconds(500);
+  Duration DarkWindow = std::chrono::milliseconds(1500);
+  /// A handshake of at most PromptAnswer is prompt. A flow that waits is
+  /// evidence only after two prompt ones within PromptWindow: else it may wait
+  /// for the link of this instance.
+  Duration PromptAnswer = std::chrono::milliseconds(40);
+  Duration PromptWindow = std::chrono::milliseconds(400);
   /// So many upstreams of one data centre with strikes make it suspected as a
   /// whole, when nothing has come from it since the first of them.
   unsigned SuspectsOfDataCentre = 2;
@@ -46,13 +61,18 @@
 
   /// A request or a flow was sent to \p u.
   auto onWork(const Upstream &u, TimePoint now) -> void;
+  /// \p u answered an opening packet after \p took.
+  auto onAnswered(const Upstream &u, Duration took, TimePoint now) -> void;
   /// A flow of \p u made progress.
   auto onProgress(const Upstream &u, TimePoint now) -> void;
   /// A request to \p u took \p took.
   auto onResponse(const Upstream &u, Duration took) -> void;
-  /// A flow of \p u got no answer; it last said so at \p struckAt. Counts
-  /// once for each flow as long as nothing of \p u makes progress.
-  auto onStrike(const Upstream &u, TimePoint struckAt, TimePoint now) -> void;
+  /// An opening packet to \p u stayed unanswered.
+  auto onUnanswered(const Upstream &u, TimePoint now) -> void;
+  /// A flow of \p u sent data again that it first sent at \p first. \p before
+  /// is when the flow last did so, with this data or other.
+  auto onRepeat(const Upstream &u, TimePoint first, TimePoint before,
+                TimePoint now) -> void;
   /// \p u is tried although it is avoided; no other flow tries it for a while.
   auto onTrial(const Upstream &u, TimePoint now) -> void;
   /// This process did not run for a while: what it missed is no evidence.
@@ -77,9 +97,12 @@
     TimePoint LoadAt;
     double ResponseSeconds = 0;
     unsigned Strikes = 0;
-    TimePoint ProgressAt;
-    TimePoint FirstStrike;
+    TimePoint LastStrike;
     TimePoint AvoidUntil;
+    TimePoint ProgressAt;
+    /// Flows that waited for long since FirstWaiting.
+    unsigned Waiting = 0;
+    TimePoint FirstWaiting;
   };
   struct DataCentre {
     unsigned Suspects = 0;
@@ -88,11 +111,15 @@
 
   auto entry(const Upstream &u) -> Entry &;
   auto find(const Upstream &u) const -> const Entry *;
+  auto strike(const Upstream &u, Entry &e, TimePoint now) -> void;
+  auto noteWaiting(Entry &e, TimePoint now) -> void;
   auto avoidance(unsigned strikes) const -> Duration;
 
   EstimateOptions Options;
   std::vector<Entry> Entries;
   std::unordered_map<std::uint64_t, DataCentre> DataCentres;
+  /// The last two prompt handshakes, the older one first.
+  std::array<TimePoint, 2> Prompt{};
 };
 
 } // namespace boragebridge
--- a/src/edge/flow_cache.h
+++ b/src/edge/flow_cache.h
@@ -24,8 +24,8 @@
   TimePoint SeenAt;
   /// When the data that was sent last was sent first.
   TimePoint SentAt;
-  /// When the flow last spoke against its upstream.
-  TimePoint StruckAt;
+  /// When it last sent data again.
+  TimePoint RepeatedAt;
   /// Sequence of the packet that opened the flow.
   std::uint32_t FirstSequence = 0;
   /// The byte after the last one sent.
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -136,7 +136,7 @@
                         TimePoint now) -> void {
   e.SeenAt = now;
   if (!e.Open || e.Tag != u.Tag) {
-    if (e.Tag == u.Tag && !e.Unanswered)
+    if (e.Tag == u.Tag && !e.Unanswered && e.FirstSequence != 0)
       AnswerTime = now - e.OpenedAt;
     e.Open = true;
     e.Tag = u.Tag;
@@ -145,16 +145,19 @@
     e.NextSequence = p.Sequence;
     e.SentAt = now;
     // The packet repeats what the upstream sent, so the upstream has answered.
-    if (e.FirstSequence != 0)
+    if (AnswerTime > Duration::zero())
+      Loads.onAnswered(u, AnswerTime, now);
+    else if (e.FirstSequence != 0)
       Loads.onProgress(u, now);
   } else if (isAfter(p.Acknowledged, e.Acknowledged)) {
     e.Acknowledged = p.Acknowledged;
     Loads.onProgress(u, now);
     if (p.Finishes)
       Loads.onResponse(u, now - e.SentAt);
-  } else if (p.Length > 0 && !isAfter(p.Sequence + p.Length, e.NextSequence)) {
-    Loads.onStrike(u, e.StruckAt, now);
-    e.StruckAt = now;
+  } else if (p.Length > 0 && now - e.SentAt >= Options.ShortestRepeat &&
+             !isAfter(p.Sequence + p.Length, e.NextSequence)) {
+    Loads.onRepeat(u, e.SentAt, e.RepeatedAt, now);
+    e.RepeatedAt = now;
   }
   if (p.Length > 0 && isAfter(p.Sequence + p.Length, e.NextSequence)) {
     if (e.NextSequence == p.Sequence && now - e.SentAt > Options.AnswerTimeout)
@@ -179,8 +182,7 @@
     if (e != nullptr && !e->Open && e->Tag == first.Tag && !e->Unanswered)
       if (const auto *u = upstreamOf(*e)) {
         e->Unanswered = true;
-        Loads.onStrike(*u, e->StruckAt, now);
-        e->StruckAt = now;
+        Loads.onUnanswered(*u, now);
       }
     FirstOpening = (FirstOpening + 1) % Openings.size();
     --OpeningCount;
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -59,6 +59,8 @@
   /// An opening packet that no other packet of its flow follows for so long
   /// counts as unanswered.
   Duration AnswerTimeout = std::chrono::milliseconds(60);
+  /// Data that comes again sooner waited in this process, not at its caller.
+  Duration ShortestRepeat = std::chrono::milliseconds(100);
   /// Longer pauses of this process void what was seen before them.
   Duration LongestPause = std::chrono::milliseconds(150);
 };
--- a/src/edge/relay_tree.cpp
+++ b/src/edge/relay_tree.cpp
@@ -10,10 +10,9 @@
 namespace json = boost::json;
 
 auto formatMember(const MemberRecord &m) -> std::string {
-  return json::serialize(
-      json::object{{"address", toString(m.Address)},
-                   {"data_centre", raw(m.DataCentre)},
-                   {"strength", m.Strength}});
+  return json::serialize(json::object{{"address", toString(m.Address)},
+                                      {"data_centre", raw(m.DataCentre)},
+                                      {"strength", m.Strength}});
 }
 
 auto parseMember(const std::string &name, const std::string &text)
@@ -24,8 +23,7 @@
     const auto v = json::parse(text);
     if (!parseEndpoint(json::value_to<std::string>(v.at("address")), m.Address))
       return absl::InvalidArgumentError(name + ": no address");
-    m.DataCentre =
-        DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
+    m.DataCentre = DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
     m.Strength = v.at("strength").to_number<unsigned>();
     return m;
   } catch (const std::exception &e) {
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -3,6 +3,7 @@
 #include "store/platform_events.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragebridge {
 
@@ -21,6 +22,14 @@
     startWatch();
 }
 
+auto ObjectWatcher::adopt(const ObjectList &list) -> bool {
+  if (isKnown() || list.CurrentVersion == 0)
+    return false;
+  Version = list.CurrentVersion;
+  Handlers.OnList(list);
+  return true;
+}
+
 auto ObjectWatcher::startList() -> void {
   Ctx.Store.list(Options.Prefix, [this, alive = std::weak_ptr<bool>(Alive)](
                                      const absl::StatusOr<ObjectList> &r) {
@@ -71,13 +80,16 @@
 }
 
 auto ObjectWatcher::noteAnswer() -> void {
-  if (Failures > 0)
-    Ctx.Log.write(
-        events::WatchRegained,
-        {{"prefix", Options.Prefix}, {"failures", std::to_string(Failures)}});
-  Failures = 0;
+  const auto failures = std::exchange(Failures, 0);
   ConfirmedAt = Ctx.Time.now();
   NextCall = ConfirmedAt;
+  if (failures == 0)
+    return;
+  Ctx.Log.write(
+      events::WatchRegained,
+      {{"prefix", Options.Prefix}, {"failures", std::to_string(failures)}});
+  if (Handlers.OnRegained)
+    Handlers.OnRegained();
 }
 
 auto ObjectWatcher::onFailure(const absl::Status &s) -> void {
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -69,6 +69,10 @@
 
   /// Starts the next call when it is due.
   auto tick(TimePoint now) -> void;
+  /// Delivers \p list, which another instance had, as long as the store has not
+  /// answered yet. The next answer of the store replaces it. Returns whether it
+  /// was taken.
+  auto adopt(const ObjectList &list) -> bool;
   /// Whether a list was delivered.
   auto isKnown() const -> bool { return Version != 0; }
   /// Whether the last call that ended was answered.
--- a/src/store/relayed_platform.cpp
+++ b/src/store/relayed_platform.cpp
@@ -13,19 +13,19 @@
   if (parent == Parent)
     return;
   Parent = parent;
-  ParentClient = parent ? MakeClient(*parent) : nullptr;
   NotBefore = {};
+  if (parent && !Clients.contains(*parent))
+    Clients[*parent] = MakeClient(*parent, MirrorView::Confirmed);
 }
 
 auto RelayedPlatform::hasParent() const -> bool {
-  return ParentClient != nullptr && Time.now() >= NotBefore;
+  return Parent.has_value() && Time.now() >= NotBefore;
 }
 
 auto RelayedPlatform::orFromStore(Callback<ObjectList> done, Retry retry)
     -> Callback<ObjectList> {
-  // The client is kept until the call ends: it drops calls when it goes.
-  return [this, alive = std::weak_ptr<bool>(Alive), client = ParentClient,
-          parent = *Parent, done = std::move(done),
+  return [this, alive = std::weak_ptr<bool>(Alive), parent = *Parent,
+          done = std::move(done),
           retry = std::move(retry)](absl::StatusOr<ObjectList> r) mutable {
     if (alive.expired())
       return;
@@ -46,11 +46,11 @@
     return Store.list(std::move(prefix), std::move(done));
   }
   ++ParentCalls;
-  auto client = ParentClient;
-  client->list(prefix, orFromStore(std::move(done),
-                                   [this, prefix](Callback<ObjectList> f) {
-                                     Store.list(prefix, std::move(f));
-                                   }));
+  Clients.at(*Parent)->list(
+      prefix,
+      orFromStore(std::move(done), [this, prefix](Callback<ObjectList> f) {
+        Store.list(prefix, std::move(f));
+      }));
 }
 
 auto RelayedPlatform::watch(std::string prefix, ObjectVersion after,
@@ -60,14 +60,13 @@
     return Store.watch(std::move(prefix), after, wait, std::move(done));
   }
   ++ParentCalls;
-  auto client = ParentClient;
-  client->watch(prefix, after, std::min(wait, Options.ParentWait),
-                orFromStore(std::move(done),
-                            [this, prefix, after](Callback<ObjectList> f) {
-                              // A short one, to learn soon what was missed.
-                              Store.watch(prefix, after, Options.ParentWait,
-                                          std::move(f));
-                            }));
+  Clients.at(*Parent)->watch(
+      prefix, after, std::min(wait, Options.ParentWait),
+      orFromStore(
+          std::move(done), [this, prefix, after](Callback<ObjectList> f) {
+            // A short one, to learn soon what was missed.
+            Store.watch(prefix, after, Options.ParentWait, std::move(f));
+          }));
 }
 
 auto RelayedPlatform::get(std::string key, Callback<StoredObject> done)
--- a/src/store/relayed_platform.h
+++ b/src/store/relayed_platform.h
@@ -9,6 +9,7 @@
 #include "boragebridge/clock.h"
 #include "boragebridge/platform_client.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -22,13 +23,20 @@
   Duration ParentPause = std::chrono::seconds(3);
 };
 
+/// Which views a reader takes from a mirror.
+enum class MirrorView : std::uint8_t {
+  Confirmed,
+  /// Also one that may be old; for a start without the store.
+  Any,
+};
+
 /// Not thread-safe. Callbacks may run from within the calls of the clients
 /// that it is given.
 class RelayedPlatform final : public PlatformClient {
 public:
   /// Makes the client of the mirror at an address.
-  using Connect =
-      std::function<std::unique_ptr<PlatformClient>(const Endpoint &)>;
+  using Connect = std::function<std::unique_ptr<PlatformClient>(
+      const Endpoint &, MirrorView)>;
   /// Told when a parent is found not to answer.
   using OnLost = std::function<void(const Endpoint &, const absl::Status &)>;
 
@@ -36,6 +44,11 @@
   RelayedPlatform(PlatformClient &store, const Clock &time, Connect connect,
                   OnLost lost, RelayOptions opt = {});
 
+  /// A client of the mirror at \p address, for calls of one's own.
+  auto connect(const Endpoint &address) const
+      -> std::unique_ptr<PlatformClient> {
+    return MakeClient(address, MirrorView::Any);
+  }
   /// Reads from \p parent from the next call on; nothing: from the store.
   auto setParent(std::optional<Endpoint> parent) -> void;
 
@@ -67,8 +80,8 @@
   OnLost Lost;
   RelayOptions Options;
   std::optional<Endpoint> Parent;
-  /// Shared, so that a client that is replaced lives until its calls end.
-  std::shared_ptr<PlatformClient> ParentClient;
+  /// Of all parents so far, as a client that is destroyed drops its calls.
+  std::map<Endpoint, std::unique_ptr<PlatformClient>> Clients;
   TimePoint NotBefore;
   std::uint64_t StoreCalls = 0;
   std::uint64_t ParentCalls = 0;
--- /dev/null
+++ b/test/edge/relay_tree_test.cpp
@@ -0,0 +1,92 @@
+#include "edge/relay_tree.h"
+
+#include "boragebridge/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge {
+
+using std::chrono::seconds;
+
+namespace {
+
+auto member(int i, unsigned strength = 100, int dataCentre = 1)
+    -> MemberRecord {
+  return {"m" + std::to_string(i),
+          DataCentreId{static_cast<std::uint64_t>(dataCentre)},
+          {0x0A000000U + static_cast<std::uint32_t>(i), 8166},
+          strength};
+}
+
+auto fleet(int n) -> std::vector<MemberRecord> {
+  std::vector<MemberRecord> all;
+  for (int i = 0; i < n; ++i)
+    all.push_back(member(i));
+  return all;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EdgeRelayTree)
+
+BOOST_AUTO_TEST_CASE(OneRootReadsTheStoreAndNobodyServesMoreThanTheFanout) {
+  for (int n : {1, 2, 9, 100, 540}) {
+    const auto all = fleet(n);
+    std::map<Endpoint, int> children;
+    auto roots = 0;
+    for (const auto &it : all) {
+      RelayTree tree(it);
+      tree.setMembers(all);
+      const auto parent = tree.parent(TimePoint());
+      if (parent)
+        ++children[*parent];
+      else
+        ++roots;
+    }
+    BOOST_TEST(roots == 1, "fleet " << n);
+    for (const auto &[address, count] : children)
+      BOOST_TEST(count <= 8, toString(address) << " serves " << count);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StrongestIsTheRoot) {
+  const std::vector<MemberRecord> all{member(1, 28), member(2, 500),
+                                      member(3, 90)};
+  RelayTree tree(all[0]);
+  tree.setMembers(all);
+  BOOST_TEST((tree.parent(TimePoint()) == all[1].Address));
+}
+
+BOOST_AUTO_TEST_CASE(OtherDataCentresAreNoParents) {
+  RelayTree tree(member(1, 28));
+  tree.setMembers({member(1, 28), member(2, 500, 2)});
+  BOOST_TEST(!tree.parent(TimePoint()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(MemberThatIsDownIsReplacedForAWhile) {
+  ManualClock time;
+  const std::vector<MemberRecord> all{member(1, 28), member(2, 500),
+                                      member(3, 90)};
+  RelayTree tree(all[0]);
+  tree.setMembers(all);
+  tree.markDown(all[1].Address, time.now());
+  BOOST_TEST((tree.parent(time.now()) == all[2].Address));
+  tree.markDown(all[2].Address, time.now());
+  BOOST_TEST(!tree.parent(time.now()).has_value());
+  time.advance(seconds(11));
+  BOOST_TEST((tree.parent(time.now()) == all[1].Address));
+}
+
+BOOST_AUTO_TEST_CASE(RecordIsReadAsItWasWritten) {
+  const auto m = member(7, 250);
+  const auto r = parseMember(m.Name, formatMember(m));
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST((*r == m));
+  for (const auto *it : {"", "{}", "[]", R"({"address":"x"})",
+                         R"({"address":"1.2.3.4:5","data_centre":"a"})"})
+    BOOST_TEST(!parseMember("m", it).ok(), it);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
--- /dev/null
+++ b/test/store/object_mirror_test.cpp
@@ -0,0 +1,117 @@
+#include "store/object_mirror.h"
+
+#include "boragebridge/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+namespace boragebridge {
+
+using std::chrono::seconds;
+
+namespace {
+
+struct MirrorFixture {
+  ManualClock Time;
+  ObjectMirror Mirror{{.HistoryEvents = 3, .MaxWatches = 2}};
+  std::optional<absl::StatusOr<ObjectList>> Answer;
+
+  static auto object(const std::string &key, ObjectVersion v,
+                     bool removed = false) -> ObjectEvent {
+    return {{key, "{}", v}, removed};
+  }
+  auto start() -> void {
+    Mirror.replace("p/", {{object("p/a", 5), object("p/b", 6)}, 7});
+  }
+  auto watch(ObjectVersion after) -> void {
+    Answer.reset();
+    Mirror.watch("p/", after, Time.now() + seconds(1),
+                 [this](auto r) { Answer = std::move(r); });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreObjectMirror, MirrorFixture)
+
+BOOST_AUTO_TEST_CASE(ListHoldsWhatTheViewHolds) {
+  BOOST_TEST(absl::IsUnavailable(Mirror.list("p/").status()));
+  start();
+  Mirror.apply("p/", {{object("p/a", 5, true), object("p/c", 8)}, 9});
+  const auto l = Mirror.list("p/");
+  BOOST_TEST_REQUIRE(l.ok());
+  BOOST_TEST(l->CurrentVersion == 9U);
+  BOOST_TEST(l->Events.size() == 2U);
+  BOOST_TEST(l->Events[0].Object.Key == "p/b");
+}
+
+BOOST_AUTO_TEST_CASE(WatchGetsWhatCameAfterItsVersion) {
+  start();
+  Mirror.apply("p/", {{object("p/c", 8)}, 9});
+  watch(7);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST((*Answer)->Events.size() == 1U);
+  BOOST_TEST((*Answer)->CurrentVersion == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(WatchWaitsForTheNextEventsOrItsEnd) {
+  start();
+  watch(7);
+  BOOST_TEST(!Answer.has_value());
+  Mirror.apply("p/", {{object("p/c", 8)}, 8});
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  watch(8);
+  Time.advance(seconds(1));
+  Mirror.tick(Time.now());
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST((*Answer)->Events.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReaderThatIsAheadStaysWhereItIs) {
+  start();
+  watch(20);
+  Time.advance(seconds(1));
+  Mirror.tick(Time.now());
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST((*Answer)->CurrentVersion == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(HistoryThatIsNotKeptIsSaidSo) {
+  start();
+  for (ObjectVersion v = 8; v < 14; ++v)
+    Mirror.apply("p/", {{object("p/c", v)}, v});
+  watch(8);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST(absl::IsOutOfRange(Answer->status()));
+  watch(11);
+  BOOST_TEST((*Answer)->Events.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(UnconfirmedViewSendsItsReadersAway) {
+  start();
+  watch(7);
+  Mirror.setConfirmed("p/", false);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST(absl::IsUnavailable(Answer->status()));
+  BOOST_TEST(!Mirror.list("p/").ok());
+  BOOST_TEST(Mirror.list("p/", true).ok());
+  watch(7);
+  BOOST_TEST(absl::IsUnavailable(Answer->status()));
+  Mirror.setConfirmed("p/", true);
+  BOOST_TEST(Mirror.list("p/").ok());
+}
+
+BOOST_AUTO_TEST_CASE(WatchesAreLimited) {
+  start();
+  watch(7);
+  watch(7);
+  watch(7);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST(absl::IsResourceExhausted(Answer->status()));
+  BOOST_TEST(Mirror.openWatches() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
--- /dev/null
+++ b/test/store/relayed_platform_test.cpp
@@ -0,0 +1,96 @@
+#include "store/relayed_platform.h"
+
+#include "scripted_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge {
+
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Endpoint Parent{0x0A010001, 8166};
+
+struct RelayFixture {
+  ManualClock Time;
+  ScriptedStore Store;
+  /// The client of the parent; owned by the relay.
+  ScriptedStore *Mirror = nullptr;
+  unsigned Lost = 0;
+  RelayedPlatform Relay{Store, Time,
+                        [this](const Endpoint &, MirrorView) {
+                          auto client = std::make_unique<ScriptedStore>();
+                          Mirror = client.get();
+                          return client;
+                        },
+                        [this](const auto &, const auto &) { ++Lost; }};
+  absl::StatusOr<ObjectList> Answer = absl::UnknownError("none");
+
+  auto watch() -> void {
+    Relay.watch("p/", 7, seconds(5), [this](auto r) { Answer = std::move(r); });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreRelayedPlatform, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(CallsGoToTheStoreWithoutAParent) {
+  watch();
+  BOOST_TEST(Store.take("p/").After == 7U);
+  BOOST_TEST(Relay.storeCalls() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsGoToTheParentAndWritesToTheStore) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", ObjectList{{}, 9});
+  BOOST_TEST_REQUIRE(Answer.ok());
+  BOOST_TEST(Answer->CurrentVersion == 9U);
+  Relay.put("p/a", "{}", 0, [](const auto &) {});
+  BOOST_TEST(Store.Puts.size() == 1U);
+  BOOST_TEST(Store.Open.empty());
+}
+
+BOOST_AUTO_TEST_CASE(CallThatTheParentDoesNotAnswerGoesToTheStore) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", absl::DeadlineExceededError("silent"));
+  BOOST_TEST(Lost == 1U);
+  Store.answer("p/", ObjectList{{}, 11});
+  BOOST_TEST_REQUIRE(Answer.ok());
+  BOOST_TEST(Answer->CurrentVersion == 11U);
+}
+
+BOOST_AUTO_TEST_CASE(ParentThatFailedIsLeftAloneForAWhile) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", absl::UnavailableError("not confirmed"));
+  BOOST_TEST(!Relay.hasParent());
+  Time.advance(seconds(3));
+  BOOST_TEST(Relay.hasParent());
+}
+
+BOOST_AUTO_TEST_CASE(HistoryThatIsGoneIsAnAnswer) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", absl::OutOfRangeError("gone"));
+  BOOST_TEST(absl::IsOutOfRange(Answer.status()));
+  BOOST_TEST(Lost == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CallInProgressEndsThoughTheParentIsReplaced) {
+  Relay.setParent(Parent);
+  watch();
+  auto call = Mirror->take("p/");
+  Relay.setParent(Endpoint{1, 2});
+  call.Done(absl::UnavailableError("gone away"));
+  BOOST_TEST(Relay.hasParent());
+  Store.answer("p/", ObjectList{{}, 11});
+  BOOST_TEST(Answer.ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge
