Ask the store seldom while it is away for all; drop stale openings; a fault soak

Openings that waited through a pause of over a second are dropped. The edge's clock now goes on while the machine is suspended.

Suspicions and pauses of the process are logged.

--- /dev/null
+++ b/fuzz/users_platform_fuzzer.cpp
@@ -0,0 +1,37 @@
+// Everything that the adapter to the users' platform reads: packets, records
+// and pages of the store, the settings file, and the members' records.
+#include "fuzz_target.h"
+
+#include "edge/relay_tree.h"
+#include "node_settings.h"
+#include "object_dialect.h"
+#include "packet_codec.h"
+#include "record_codec.h"
+
+#include <cstdlib>
+
+namespace boragebridge::fuzz {
+
+/// A packet that is taken has a reset of a packet's length.
+static auto checkPacket(ByteView datagram) -> void {
+  const users::PacketCodec codec(8172);
+  FlowPacket p;
+  if (!codec.decode(datagram, p))
+    return;
+  PacketFormat::ResetBuffer buf;
+  if (codec.makeReset(p, buf).size() > buf.size())
+    std::abort();
+}
+
+auto runOne(ByteView data) -> void {
+  checkPacket(data);
+  const auto text = toText(data);
+  const users::RecordCodec records;
+  static_cast<void>(records.decodeUpstream({"servers/i-1", text, 1}));
+  static_cast<void>(records.decodeConfiguration({"config/main", text, 1}));
+  static_cast<void>(users::ObjectDialect().parsePage("servers/", text));
+  static_cast<void>(users::parseNodeSettings("f", text));
+  static_cast<void>(parseMember("m", text));
+}
+
+} // namespace boragebridge::fuzz
--- a/include/boragebridge/clock.h
+++ b/include/boragebridge/clock.h
@@ -9,6 +9,10 @@
 
 #include "boragebridge/types.h"
 
+#include <time.h>
+
+#include <ctime>
+
 namespace boragebridge {
 
 /// Source of the current time of one process.
@@ -31,6 +35,18 @@
   }
 };
 
+/// Like SteadyClock, but goes on while the machine is suspended, so that a
+/// process notices what it missed. Linux only.
+class BootClock final : public Clock {
+public:
+  auto now() const -> TimePoint override {
+    std::timespec t{};
+    ::clock_gettime(CLOCK_BOOTTIME, &t);
+    return TimePoint(std::chrono::seconds(t.tv_sec) +
+                     std::chrono::nanoseconds(t.tv_nsec));
+  }
+};
+
 /// A clock that moves only when told to. Not thread-safe.
 class ManualClock final : public Clock {
 public:
--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -6,6 +6,7 @@
 ///  - Aborted: the version was not the expected one; nothing was written.
 ///  - Unavailable: refused or not reached; nothing was written.
 ///  - DeadlineExceeded: no answer; a write may or may not have taken effect.
+///  - FailedPrecondition: a mirror of the store is not sure of its view.
 ///  - OutOfRange: a watch asks for history that the store no longer keeps.
 ///  - ResourceExhausted: over the store's or the client's own rate.
 #ifndef BORAGEBRIDGE_PLATFORM_CLIENT_H
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,465 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of boragebridge_edge on loopback.
+
+Runs real instances as processes between stand-ins of callers, upstreams and
+the store, injects faults from outside, and checks the promises while it runs.
+
+    soak/soak.py --edge build/boragebridge_edge --seed 1 --seconds 30
+
+Last line: JSON with the counts and the promises that were broken. Exit status
+1 when one was broken. --break NAME puts a fault in on purpose; the run then
+has to find it.
+"""
+import argparse
+import asyncio
+import collections
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+
+import store as store_module
+import wire
+import world as world_module
+from world import COLD_LIMIT, DRAIN_S, TOUCH_S, WITHDRAW_S, number
+
+MUTATIONS = ("none", "reset", "drain", "stale", "cold")
+SERVICES = {"booking": (number("198.18.0.1"), 443),
+            "uploads": (number("198.18.0.2"), 8443)}
+ZONES = ("north", "south")
+
+
+class Instance:
+    """A process of the edge, its settings and its own way to the store."""
+
+    def __init__(self, soak, index):
+        self.soak, self.index = soak, index
+        self.name = f"edge-{index}"
+        self.ip = f"127.1.{soak.net}.{index + 1}"
+        self.zone = ZONES[index % len(ZONES)]
+        self.listener = store_module.Listener(soak.store)
+        self.store_port = soak.port + 1
+        self.process = None
+        self.is_ready = False
+        self.misses = 0
+        # Until when a fault of its own excuses it.
+        self.touched = time.monotonic()
+        self.is_expected_to_run = False
+        # Held by the fault that stops and starts it.
+        self.lock = asyncio.Lock()
+
+    def settings(self):
+        soak = self.soak
+        seeds = ",".join(f"{it.ip}:{soak.port + 3}"
+                         for it in soak.instances[:3])
+        return "\n".join((
+            f"nodeName={self.name}", f"zone={self.zone}",
+            f"listen.datagramAddr={self.ip}:{soak.port}",
+            f"listen.readyAddr={self.ip}:{soak.port + 2}",
+            f"listen.control={self.ip}:{soak.port + 3}",
+            f"platform.address=127.4.{soak.net}.{self.index + 1}:"
+            f"{self.store_port}",
+            f"seeds={seeds}", "limits.cpuShare=0.25", "limits.cores=1",
+            "bounds.warmupFactor=1.5", f"bounds.coldSlack={COLD_LIMIT}", ""))
+
+    async def start(self):
+        path = os.path.join(self.soak.folder, self.name + ".conf")
+        with open(path, "w", encoding="utf-8") as out:
+            out.write(self.settings())
+        log = open(os.path.join(self.soak.folder, self.name + ".log"), "ab")
+        self.touch(0)
+        self.process = await asyncio.create_subprocess_exec(
+            self.soak.options.edge, stdout=log, stderr=log,
+            env={"BORAGEBRIDGE_NODE_FILE": path, "PATH": os.environ["PATH"]})
+        log.close()
+        self.is_expected_to_run = True
+
+    def touch(self, lasts_s):
+        self.touched = max(self.touched, time.monotonic() + lasts_s)
+
+    def is_in_touch(self):
+        return time.monotonic() - self.touched > TOUCH_S
+
+    async def end(self, number_of_signal):
+        self.is_expected_to_run = False
+        self.touch(0)
+        if self.process.returncode is None:
+            self.process.send_signal(number_of_signal)
+        await self.process.wait()
+
+    def check(self):
+        if self.is_expected_to_run and self.process.returncode is not None:
+            self.is_expected_to_run = False
+            self.soak.promises.fail(
+                "ended_by_itself", f"{self.name}: {self.process.returncode}")
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.random = random.Random(options.seed)
+        # Each run has ports and loopback networks of its own.
+        self.net = options.net if options.net else 1 + os.getpid() % 200
+        self.port = 21000 + 10 * self.net
+        self.mutation = options.mutation
+        self.store = store_module.Store()
+        self.promises = world_module.Promises(time.monotonic())
+        self.instances = []
+        self.callers = []
+        self.upstreams = []
+        self.withdrawn = {}
+        self.counts = collections.Counter()
+        self.next_id = 0x1000
+        self.next_host = 0
+        self.version = 1
+        self.store_touched = 0.0
+        self.tasks = []
+
+    def count(self, what):
+        self.counts[what] += 1
+
+    # What the stand-ins ask.
+
+    def route(self, packet):
+        """The instance that the fabric hands a packet to."""
+        ready = [it for it in self.instances if it.is_ready]
+        if len(ready) * 2 < len(self.instances):
+            ready = self.instances
+        return ready[hash(packet.flow()) % len(ready)].ip
+
+    def caller_of(self, packet):
+        return next((it for it in self.callers if it.number == packet.src),
+                    None)
+
+    def instance_at(self, ip):
+        return next((it for it in self.instances if it.ip == ip), None)
+
+    def is_store_in_touch(self, since):
+        return self.store_touched < since - TOUCH_S
+
+    def judge_opening(self, upstream, packet, via):
+        if self.options.verbose:
+            print("opening", upstream.name, via, packet.flow())
+        instance = self.instance_at(via)
+        caller = self.caller_of(packet)
+        flow = caller and caller.flows.get(packet.sport)
+        if instance is None or flow is None:
+            return
+        where = f"{upstream.name} from {instance.name}"
+        if (packet.dst, packet.dport) != SERVICES[upstream.service]:
+            self.promises.fail("wrong_service", where)
+        self.judge_cold(upstream, where)
+        if not instance.is_in_touch():
+            return
+        asked = upstream.refuse_since
+        if asked and self.is_store_in_touch(asked) and (
+                flow.opened_at > asked + DRAIN_S):
+            self.promises.fail("drain_ignored", where)
+        asked = self.withdrawn.get(upstream.zone)
+        if asked and self.is_store_in_touch(asked) and (
+                flow.opened_at > asked + WITHDRAW_S):
+            self.promises.fail("withdrawal_ignored", where)
+
+    def judge_cold(self, upstream, where):
+        now = time.monotonic()
+        if now > upstream.started + upstream.cold_s:
+            return
+        upstream.openings.append(now)
+        while upstream.openings[0] <= now - 1:
+            upstream.openings.popleft()
+        if len(upstream.openings) > COLD_LIMIT:
+            self.promises.fail("cold_crushed", where)
+
+    def judge_reset(self, caller, flow, sport, source):
+        host = flow.host
+        if host is None or host.dark_since or host.gone_since:
+            return
+        self.promises.fail(
+            "living_flow_reset",
+            f"{caller.address}:{sport} on {host.name} by {source}")
+
+    # Set-up and load.
+
+    async def start(self):
+        self.put_configuration()
+        for i in range(self.options.upstreams):
+            service = "booking" if i % 4 else "uploads"
+            await self.add_upstream(service, ZONES[(i + i // 4) % len(ZONES)],
+                                    0.0)
+        for i in range(self.options.instances):
+            self.instances.append(Instance(self, i))
+        for it in self.instances:
+            await it.listener.start(f"127.4.{self.net}.{it.index + 1}",
+                                    it.store_port)
+            await it.start()
+        for i in range(self.options.callers):
+            caller = world_module.Caller(self, f"127.3.{self.net}.{i + 1}")
+            await caller.start()
+            self.callers.append(caller)
+        self.spawn(self.watch_readiness())
+        await asyncio.sleep(2)
+        for caller in self.callers:
+            self.spawn(self.call(caller))
+
+    def spawn(self, work):
+        self.tasks.append(asyncio.create_task(work))
+
+    def put_configuration(self):
+        self.version += self.random.randint(1, 5)
+        routes = [{"name": name, "host": f"198.18.0.{address & 255}",
+                   "pathPrefix": f"/{port}/", "kind": "idempotent",
+                   "service": name, "timeoutMs": 2000, "latencyTargetMs": 100,
+                   "priority": 1, "maxAttempts": 1}
+                  for name, (address, port) in SERVICES.items()]
+        services = [{"name": name, "healthPath": "/health", "maxConns": 2000,
+                     "warmupS": 2.0, "warmupPerS": 0.0} for name in SERVICES]
+        self.store.put("config", "main", {
+            "version": self.version, "routes": routes, "services": services,
+            "limits": {"idleTimeoutMs": 15000}})
+
+    async def add_upstream(self, service, zone, cold_s, address=None):
+        self.next_id += 1
+        if address is None:
+            self.next_host += 1
+            address = (f"127.2.{self.net}.{self.next_host}", self.port + 4)
+        it = world_module.Upstream(self, f"i-{self.next_id:x}", address,
+                                   service, zone, cold_s)
+        await it.start()
+        self.upstreams.append(it)
+        return it
+
+    async def call(self, caller):
+        while True:
+            service = self.random.choice(list(SERVICES.values()))
+            is_long = self.random.random() < 0.3
+            await caller.run_flow(service, 20 if is_long else 1,
+                                  0.1 if is_long else 0.01)
+            await asyncio.sleep(0.05)
+
+    async def watch_readiness(self):
+        while True:
+            for it in self.instances:
+                it.check()
+                if await self.is_answering_ready(it):
+                    it.is_ready, it.misses = True, 0
+                else:
+                    it.misses += 1
+                    it.is_ready = it.is_ready and it.misses < 2
+            await asyncio.sleep(0.5)
+
+    async def is_answering_ready(self, instance):
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(instance.ip, self.port + 2), 0.3)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\n"
+                         b"Connection: close\r\n\r\n")
+            line = await asyncio.wait_for(reader.readline(), 0.3)
+            writer.close()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    # Faults. Each returns after it has ended.
+
+    async def kill_instance(self):
+        it = self.random.choice(self.instances)
+        async with it.lock:
+            await it.end(signal.SIGKILL)
+            await asyncio.sleep(self.random.uniform(0.1, 2))
+            await it.start()
+
+    async def roll_instance(self):
+        it = self.random.choice(self.instances)
+        async with it.lock:
+            await it.end(signal.SIGTERM)
+            await it.start()
+
+    async def pause_instance(self):
+        it = self.random.choice(self.instances)
+        lasts = self.random.uniform(0.3, 4)
+        async with it.lock:
+            it.touch(lasts)
+            it.process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            it.process.send_signal(signal.SIGCONT)
+            it.touch(0)
+
+    async def hurt_store(self):
+        hurt = self.instances if self.random.random() < 0.4 else (
+            [self.random.choice(self.instances)])
+        mode = self.random.choice(store_module.Listener.MODES[1:])
+        lasts = self.random.uniform(0.5, 5)
+        self.store_touched = time.monotonic() + lasts
+        for it in hurt:
+            it.listener.mode = mode
+        await asyncio.sleep(lasts)
+        for it in hurt:
+            it.listener.mode = "ok"
+        self.store_touched = max(self.store_touched, time.monotonic())
+
+    async def forget_history(self):
+        self.store.forget_history()
+
+    async def change_configuration(self):
+        for _ in range(self.random.randint(1, 5)):
+            self.put_configuration()
+            await asyncio.sleep(0.2)
+
+    def pick_upstream(self):
+        usable = [it for it in self.upstreams
+                  if not (it.refuse_since or it.gone_since or it.dark_since)]
+        left = collections.Counter((it.service, it.zone) for it in usable)
+        spare = [it for it in usable if left[(it.service, it.zone)] > 1]
+        return self.random.choice(spare) if spare else None
+
+    async def replace_upstream(self):
+        """A new one starts, cold; the old one drains and leaves."""
+        it = self.pick_upstream()
+        if it is None:
+            return
+        await self.add_upstream(it.service, it.zone, 2.0)
+        it.drain()
+        await asyncio.sleep(DRAIN_S + self.random.uniform(0.5, 3))
+        it.stop()
+        self.store.delete("servers", it.name)
+
+    async def crash_upstream(self):
+        """It falls silent; its record lapses; its address is used again."""
+        it = self.pick_upstream()
+        if it is None:
+            return
+        it.go_dark()
+        await asyncio.sleep(3.6)
+        it.refuse_since = time.monotonic()
+        self.store.delete("servers", it.name)
+        it.stop()
+        await asyncio.sleep(2)
+        other = "uploads" if it.service == "booking" else "booking"
+        await self.add_upstream(other, it.zone, 2.0, it.address)
+        await self.add_upstream(it.service, it.zone, 2.0)
+
+    async def withdraw_zone(self):
+        zone = self.random.choice(ZONES)
+        if self.withdrawn:
+            return
+        self.store.put("evacuations", zone, {})
+        self.withdrawn[zone] = time.monotonic()
+        await asyncio.sleep(self.random.uniform(3, 8))
+        del self.withdrawn[zone]
+        self.store.delete("evacuations", zone)
+
+    FAULTS = (kill_instance, roll_instance, pause_instance, hurt_store,
+              forget_history, change_configuration, replace_upstream,
+              crash_upstream, withdraw_zone)
+
+    async def inject(self):
+        """Faults in series, in two rows that overlap."""
+        while True:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            fault = self.random.choice(self.FAULTS)
+            self.count(fault.__name__)
+            await fault(self)
+
+    async def put_in_fault(self):
+        """A fault on purpose, which the checks have to find."""
+        await asyncio.sleep(TOUCH_S + 1)
+        if self.mutation == "reset":
+            self.reset_a_living_flow()
+        if self.mutation == "drain":
+            it = self.pick_upstream()
+            it.refuse_since = time.monotonic()
+        if self.mutation == "stale":
+            await self.show_an_old_view()
+        if self.mutation == "cold":
+            warm = list(self.upstreams)
+            for service in SERVICES:
+                await self.add_upstream(service, ZONES[0], 30.0)
+            for it in warm:
+                it.drain()
+
+    def reset_a_living_flow(self):
+        caller = self.callers[0]
+        sport, flow = next((s, f) for c in self.callers
+                           for s, f in c.flows.items() if f.host)
+        caller = next(c for c in self.callers if c.flows.get(sport) is flow)
+        forged = wire.Packet(wire.RST, *flow.service, caller.number, sport)
+        forged = bytearray(forged.encode())
+        forged[-4:] = bytes(4)
+        caller.datagram_received(bytes(forged), ("on purpose", 0))
+
+    async def show_an_old_view(self):
+        """One instance starts again and is told the store's earlier state."""
+        old = store_module.Store()
+        old.objects = dict(self.store.objects)
+        old.revision = self.store.revision
+        it = self.pick_upstream()
+        it.drain()
+        instance = self.instances[0]
+        instance.listener.frozen_view = old
+        await instance.end(signal.SIGKILL)
+        await instance.start()
+
+    async def run(self):
+        await self.start()
+        if self.mutation == "none":
+            self.spawn(self.inject())
+            self.spawn(self.inject())
+        else:
+            self.spawn(self.put_in_fault())
+        await asyncio.sleep(self.options.seconds)
+        for it in self.tasks:
+            it.cancel()
+        for it in self.instances:
+            it.listener.server.close()
+        for it in self.instances:
+            it.is_expected_to_run = False
+            if it.process.returncode is None:
+                it.process.send_signal(signal.SIGCONT)
+                it.process.kill()
+                await it.process.wait()
+        answered = self.counts["opened"]
+        tried = answered + self.counts["not_opened"]
+        if tried == 0 or answered < tried / 2:
+            self.promises.fail("served", f"{answered} of {tried} flows opened")
+
+
+def parse_options():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--edge", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30)
+    parser.add_argument("--instances", type=int, default=4)
+    parser.add_argument("--upstreams", type=int, default=12)
+    parser.add_argument("--callers", type=int, default=30)
+    parser.add_argument("--verbose", action="store_true")
+    parser.add_argument("--net", type=int, default=0)
+    parser.add_argument("--break", dest="mutation", choices=MUTATIONS,
+                        default="none")
+    return parser.parse_args()
+
+
+async def main():
+    options = parse_options()
+    random.seed(options.seed)
+    with tempfile.TemporaryDirectory() as folder:
+        soak = Soak(options)
+        soak.folder = folder
+        await soak.run()
+        if soak.promises.broken and options.mutation == "none":
+            keep = tempfile.mkdtemp(prefix=f"soak-{options.seed}-")
+            for name in os.listdir(folder):
+                os.replace(os.path.join(folder, name),
+                           os.path.join(keep, name))
+            print("logs:", keep)
+    names = collections.Counter(
+        line.split(":")[0].split()[-1] for line in soak.promises.broken)
+    print(json.dumps({"seed": options.seed, "counts": soak.counts,
+                      "store_calls": soak.store.calls, "broken": names}))
+    return 1 if soak.promises.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,221 @@
+"""Upstreams and callers of the soak, and the promises that they check."""
+import asyncio
+import collections
+import random
+import socket
+import time
+
+import wire
+
+TOUCH_S = 4.0
+DRAIN_S = 3.0
+WITHDRAW_S = 5.0
+COLD_LIMIT = 5
+REPEATS_S = (0.2, 0.6)
+GIVE_UP_S = 1.4
+
+
+def number(address):
+    return int.from_bytes(socket.inet_aton(address), "big")
+
+
+class Promises:
+    """Collects broken promises; each is a line with its time."""
+
+    def __init__(self, started):
+        self.started = started
+        self.broken = []
+
+    def fail(self, name, text):
+        line = f"{time.monotonic() - self.started:7.3f} s  {name}: {text}"
+        self.broken.append(line)
+        print(line, flush=True)
+
+
+class Upstream(asyncio.DatagramProtocol):
+    """One lifetime of an upstream."""
+
+    def __init__(self, world, name, address, service, zone, cold_s=0.0):
+        self.world, self.name, self.address = world, name, address
+        self.service, self.zone, self.cold_s = service, zone, cold_s
+        self.started = time.monotonic()
+        self.born = int(time.time() * 1000)
+        self.wire_id = int(name.split("-")[1], 16)
+        self.flows = {}
+        self.closed = set()
+        self.openings = collections.deque()
+        self.refuse_since = None
+        self.dark_since = None
+        self.gone_since = None
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=self.address)
+        self.report("ready")
+
+    def report(self, state):
+        left = max(0.0, self.cold_s - (time.monotonic() - self.started))
+        shown = 0 if self.world.mutation == "cold" else int(left * 1000)
+        spec = {"service": self.service, "zone": self.zone, "version": "v1",
+                "address": "%s:%d" % self.address, "slots": 2, "state": state,
+                "warmupLeftMs": shown, "sequence": 1, "born": self.born}
+        self.world.store.put("servers", self.name, spec)
+
+    def drain(self):
+        self.refuse_since = time.monotonic()
+        self.report("draining")
+
+    def stop(self):
+        self.gone_since = time.monotonic()
+        self.flows.clear()
+        self.transport.close()
+
+    def go_dark(self):
+        self.dark_since = time.monotonic()
+
+    def datagram_received(self, datagram, source):
+        if self.dark_since:
+            return
+        (wire_id,) = wire.WIRE_ID.unpack_from(datagram)
+        if wire_id not in (0, self.wire_id):
+            return
+        packet, is_whole = wire.decode(datagram[wire.WIRE_ID.size:])
+        if not is_whole:
+            self.world.promises.fail("altered", f"{self.name} got {packet}")
+        if packet.flags & wire.SYN:
+            self.on_opening(packet, source[0])
+        else:
+            self.on_packet(packet)
+
+    def on_opening(self, packet, via):
+        key = packet.flow()
+        if key not in self.flows:
+            self.flows[key] = [random.getrandbits(31), packet.seq + 1]
+            self.world.judge_opening(self, packet, via)
+        seq, expected = self.flows[key]
+        self.reply(packet, wire.SYN | wire.ACK, seq, expected)
+
+    def on_packet(self, packet):
+        key = packet.flow()
+        if key not in self.flows:
+            if not packet.flags & wire.RST and key not in self.closed:
+                self.reply(packet, wire.RST, packet.ack, packet.seq)
+            return
+        state = self.flows[key]
+        caller = self.world.caller_of(packet)
+        if caller:
+            caller.opened_at(packet.sport, self)
+        if packet.data and packet.seq == state[1]:
+            state[1] += len(packet.data)
+        if packet.data:
+            self.reply(packet, wire.ACK, state[0] + 1, state[1], b"answer")
+        if packet.flags & wire.FIN:
+            self.closed.add(key)
+            del self.flows[key]
+
+    def reply(self, packet, flags, seq, ack, data=b""):
+        answer = wire.Packet(flags, packet.dst, packet.dport, packet.src,
+                             packet.sport, seq & 0xFFFFFFFF, ack, packet.tag,
+                             data)
+        to = socket.inet_ntoa(packet.src.to_bytes(4, "big"))
+        self.transport.sendto(answer.encode(), (to, self.world.port))
+
+
+class Flow:
+    def __init__(self, service, is_long):
+        self.service, self.is_long = service, is_long
+        self.answered = asyncio.Event()
+        self.reset = False
+        self.host = None
+        self.next = 1001
+        self.ack = 0
+        self.tag = 0
+        self.is_open = False
+
+
+class Caller(asyncio.DatagramProtocol):
+    """One caller address with its flows."""
+
+    def __init__(self, world, address):
+        self.world, self.address = world, address
+        self.number = number(address)
+        self.flows = {}
+        self.next_port = 1024
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self.address, self.world.port))
+
+    def opened_at(self, sport, host):
+        flow = self.flows.get(sport)
+        if flow and flow.host is None:
+            flow.host = host
+        elif flow and flow.host is not host:
+            self.world.promises.fail("turned_aside",
+                                     f"flow {self.address}:{sport}")
+
+    def datagram_received(self, datagram, source):
+        packet, _ = wire.decode(datagram)
+        flow = self.flows.get(packet.dport)
+        if flow is None:
+            return
+        if packet.flags & wire.RST:
+            if wire.is_system_reset(datagram):
+                self.world.judge_reset(self, flow, packet.dport, source[0])
+            flow.reset = True
+        elif packet.flags & wire.SYN and flow.is_open:
+            # A second upstream answered a copy. See docs/design/platform.md,
+            # questions: whether callers take its tag.
+            return
+        else:
+            flow.tag = packet.tag
+            is_next = not flow.is_open or packet.data
+            flow.ack = packet.seq + max(1, len(packet.data))
+            flow.is_open = True
+            if not is_next:
+                return
+        flow.answered.set()
+
+    def send(self, sport, flow, flags, seq, ack, data=b""):
+        packet = wire.Packet(flags, self.number, sport, *flow.service, seq,
+                             ack & 0xFFFFFFFF, flow.tag, data)
+        instance = self.world.route(packet)
+        if instance:
+            self.transport.sendto(packet.encode(), (instance, self.world.port))
+
+    async def exchange(self, send, flow):
+        """Sends, repeats, and waits. Returns whether there was an answer."""
+        flow.answered.clear()
+        started = time.monotonic()
+        for copy, until in enumerate((*REPEATS_S, GIVE_UP_S)):
+            send(copy)
+            left = until - (time.monotonic() - started)
+            try:
+                await asyncio.wait_for(flow.answered.wait(), max(left, 0.001))
+                return not flow.reset
+            except asyncio.TimeoutError:
+                continue
+        return False
+
+    async def run_flow(self, service, requests, pause_s):
+        """Opens a flow and sends requests on it; counts the outcome."""
+        sport = self.next_port = 1024 + (self.next_port - 1023) % 60000
+        flow = self.flows[sport] = Flow(service, requests > 1)
+        flow.opened_at = time.monotonic()
+        is_good = await self.exchange(
+            lambda copy: self.send(sport, flow, wire.SYN, 1000, copy), flow)
+        self.world.count("opened" if is_good else "not_opened")
+        for _ in range(requests if is_good else 0):
+            if not await self.exchange(
+                    lambda _: self.send(sport, flow, wire.ACK, flow.next,
+                                        flow.ack, b"request"), flow):
+                self.world.count("broken")
+                break
+            flow.next += len(b"request")
+            self.world.count("answered")
+            await asyncio.sleep(pause_s)
+        self.send(sport, flow, wire.FIN | wire.ACK, flow.next, flow.ack)
+        await asyncio.sleep(0.05)
+        del self.flows[sport]
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -216,9 +216,9 @@
 
 auto Directory::upstreamsOf(ServiceId service) const
     -> const std::vector<const Upstream *> & {
-  static const std::vector<const Upstream *> None;
+  static const std::vector<const Upstream *> none;
   const auto it = ByService.find(raw(service));
-  return it == ByService.end() ? None : it->second;
+  return it == ByService.end() ? none : it->second;
 }
 
 auto Directory::coldPerSecond(ServiceId service) const -> double {
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <utility>
 
 namespace boragebridge {
 
@@ -84,13 +85,14 @@
   auto renderMetrics() -> std::string;
   auto scheduleTick() -> void;
   auto tick() -> void;
+  auto logBeliefs(TimePoint lastTick) -> void;
   auto awaitSignal() -> void;
   auto beginStop() -> void;
 
   const EdgeSettings &Settings;
   const EdgeAdapter &Adapter;
   std::function<absl::Status()> Reload;
-  SteadyClock Time;
+  BootClock Time;
   StreamLog Log;
   asio::io_context Io{1};
   HttpPlatform Store;
@@ -115,6 +117,7 @@
   std::size_t NextReset = 0;
   std::uint64_t Malformed = 0;
   TimePoint Now;
+  TimePoint Ticked;
   TimePoint Expired;
   bool WasReady = false;
   std::optional<TimePoint> StopAt;
@@ -279,7 +282,7 @@
     auto &c = Metrics.counter(name, help);
     c.add(total - c.value());
   };
-  for (std::size_t i = 0; i < static_cast<std::size_t>(EdgeReason::Count_);
+  for (std::size_t i = 0; i < static_cast<std::size_t>(EdgeReason::Count);
        ++i) {
     const auto why = static_cast<EdgeReason>(i);
     set("edge_packets_" + std::string(toString(why)) + "_total",
@@ -315,6 +318,7 @@
   Socket->drain();
   Now = Time.now();
   Decide.tick(Now);
+  logBeliefs(std::exchange(Ticked, Now));
   Views.tick(Now);
   offerViews();
   if (Now - Expired >= ExpireInterval) {
@@ -334,6 +338,19 @@
   scheduleTick();
 }
 
+auto EdgeServer::logBeliefs(TimePoint lastTick) -> void {
+  if (lastTick != TimePoint{} &&
+      Now - lastTick > ForwarderOptions().LongestPause)
+    Log.write(events::ProcessPaused,
+              {{"pause_ms", inMilliseconds(Now - lastTick)}});
+  for (const auto tag : Loads.takeSuspects())
+    if (const auto *u = Known.find(tag))
+      Log.write(events::UpstreamSuspected,
+                {{"upstream", u->Record.Name},
+                 {"strikes", std::to_string(Loads.strikes(*u))},
+                 {"expected_ms", inMilliseconds(Loads.expectedTime(*u, Now))}});
+}
+
 auto EdgeServer::awaitSignal() -> void {
   Signals.async_wait([this](auto ec, int number) {
     if (ec)
--- a/src/edge/estimates.cpp
+++ b/src/edge/estimates.cpp
@@ -79,8 +79,11 @@
   e.LastStrike = now;
   e.AvoidUntil = now + avoidance(e.Strikes);
   auto &d = DataCentres[raw(u.Record.DataCentre)];
-  if (e.Strikes == 1)
+  if (e.Strikes == 1) {
     ++d.Suspects;
+    if (Suspects.size() < MaxSuspects)
+      Suspects.push_back(u.Tag);
+  }
   if (d.Suspects >= Options.SuspectsOfDataCentre)
     d.AvoidUntil = std::max(d.AvoidUntil, e.AvoidUntil);
 }
@@ -117,6 +120,12 @@
     it->second.AvoidUntil = until;
 }
 
+auto Estimates::takeSuspects() -> std::vector<UpstreamTag> {
+  auto out = Suspects;
+  Suspects.clear();
+  return out;
+}
+
 auto Estimates::forgetStrikes() -> void {
   for (auto &it : Entries) {
     it.Strikes = 0;
--- a/src/edge/estimates.h
+++ b/src/edge/estimates.h
@@ -57,7 +57,11 @@
 
 class Estimates {
 public:
-  explicit Estimates(EstimateOptions opt = {}) : Options(opt) {}
+  static constexpr std::size_t MaxSuspects = 64;
+
+  explicit Estimates(EstimateOptions opt = {}) : Options(opt) {
+    Suspects.reserve(MaxSuspects);
+  }
 
   /// A request or a flow was sent to \p u.
   auto onWork(const Upstream &u, TimePoint now) -> void;
@@ -78,6 +82,10 @@
   /// This process did not run for a while: what it missed is no evidence.
   auto forgetStrikes() -> void;
 
+  /// Upstreams that got their first strike since the last call, at most
+  /// MaxSuspects; for the log.
+  auto takeSuspects() -> std::vector<UpstreamTag>;
+
   /// Whether new flows should go elsewhere.
   auto isAvoided(const Upstream &u, TimePoint now) const -> bool;
   /// Whether there are strikes against \p u itself.
@@ -118,6 +126,7 @@
   EstimateOptions Options;
   std::vector<Entry> Entries;
   std::unordered_map<std::uint64_t, DataCentre> DataCentres;
+  std::vector<UpstreamTag> Suspects;
   /// The last two prompt handshakes, the older one first.
   std::array<TimePoint, 2> Prompt{};
 };
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -9,12 +9,11 @@
 
 auto toString(EdgeReason r) -> std::string_view {
   static constexpr std::array<std::string_view,
-                              static_cast<std::size_t>(EdgeReason::Count_)>
+                              static_cast<std::size_t>(EdgeReason::Count)>
       Names{"opened",      "opened_again", "pinned",        "tagged",
             "no_route",    "no_upstream",  "upstream_gone", "upstream_dark",
             "unknown_tag", "no_tag",       "not_ready"};
-  return r < EdgeReason::Count_ ? Names[static_cast<std::size_t>(r)]
-                                : "unknown";
+  return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
 Forwarder::Forwarder(const Directory &dir, Estimates &est, Picker &picker,
@@ -35,6 +34,8 @@
 auto Forwarder::judge(const FlowPacket &p, TimePoint now) -> EdgeDecision {
   if (!Known.isComplete())
     return {EdgeAction::Drop, EdgeReason::NotReady};
+  if (p.Opens && LastTick != TimePoint{} && now - LastTick > Options.StalePause)
+    return {EdgeAction::Drop, EdgeReason::Stale};
   const auto *route = Known.route(p.Flow.Service);
   if (route == nullptr)
     return {EdgeAction::Reset, EdgeReason::NoRoute};
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -39,7 +39,8 @@
   UnknownTag,
   NoTag,
   NotReady,
-  Count_,
+  Stale,
+  Count,
 };
 
 auto toString(EdgeReason r) -> std::string_view;
@@ -63,6 +64,10 @@
   Duration ShortestRepeat = std::chrono::milliseconds(100);
   /// Longer pauses of this process void what was seen before them.
   Duration LongestPause = std::chrono::milliseconds(150);
+  /// Opening packets that waited through a longer pause are dropped: their
+  /// callers have sent copies through other instances, and a second answer
+  /// could turn a flow aside.
+  Duration StalePause = std::chrono::milliseconds(1000);
 };
 
 class Forwarder {
@@ -109,7 +114,7 @@
   Picker &Chooser;
   ForwarderOptions Options;
   FlowCache Flows;
-  std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count_)>
+  std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count)>
       Counts{};
   /// A ring; the oldest opening goes unjudged when it is full.
   std::vector<Opening> Openings;
--- a/src/store/exchange_on_stream.h
+++ b/src/store/exchange_on_stream.h
@@ -8,7 +8,6 @@
 #include "store/http_exchange.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -38,9 +38,10 @@
   co_return absl::OkStatus();
 }
 
-auto exchangePlain(Endpoint to, StoreHttpRequest request, ExchangeLimits limits)
+auto exchangePlain(asio::any_io_executor executor, Endpoint to,
+                   StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult {
-  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  beast::tcp_stream stream(std::move(executor));
   stream.expires_after(limits.Timeout);
   if (auto s = co_await connectTo(stream, to); !s.ok())
     co_return s;
--- a/src/store/http_exchange.h
+++ b/src/store/http_exchange.h
@@ -7,6 +7,7 @@
 
 #include "absl/status/statusor.h"
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http.hpp>
 
@@ -28,8 +29,9 @@
   std::size_t ResponseBytes = 0;
 };
 
-/// One exchange with \p to over a new TCP connection.
-auto exchangePlain(Endpoint to, StoreHttpRequest request, ExchangeLimits limits)
+/// One exchange with \p to over a new TCP connection, run by \p executor.
+auto exchangePlain(boost::asio::any_io_executor executor, Endpoint to,
+                   StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult;
 
 } // namespace boragebridge
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -24,6 +24,8 @@
     return absl::AbortedError(text);
   case http::status::gone:
     return absl::OutOfRangeError(text);
+  case http::status::precondition_failed:
+    return absl::FailedPreconditionError(text);
   case http::status::too_many_requests:
     return absl::ResourceExhaustedError(text);
   case http::status::service_unavailable:
@@ -71,7 +73,8 @@
   message.body() = request.Body;
   message.prepare_payload();
   asio::co_spawn(Io,
-                 Settings.Transport(Settings.Address, std::move(message),
+                 Settings.Transport(Io.get_executor(), Settings.Address,
+                                    std::move(message),
                                     {timeout, Settings.ResponseBytes}),
                  [parse = std::move(parse), done = std::move(done),
                   alive = std::weak_ptr<bool>(Alive)](
@@ -96,10 +99,10 @@
 }
 
 auto HttpPlatform::list(std::string prefix, Callback<ObjectList> done) -> void {
-  listPage(std::move(prefix), {}, {}, std::move(done));
+  listPage(prefix, {}, {}, std::move(done));
 }
 
-auto HttpPlatform::listPage(std::string prefix, const std::string &next,
+auto HttpPlatform::listPage(const std::string &prefix, const std::string &next,
                             ObjectList soFar, Callback<ObjectList> done)
     -> void {
   const auto request = Settings.Dialect->list(prefix, next);
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -25,7 +25,8 @@
 
 /// Runs one exchange with the store at an address.
 using StoreTransport = std::function<StoreExchangeResult(
-    Endpoint to, StoreHttpRequest request, ExchangeLimits limits)>;
+    boost::asio::any_io_executor executor, Endpoint to,
+    StoreHttpRequest request, ExchangeLimits limits)>;
 
 /// Where the store is and how to talk to it.
 struct HttpPlatformSettings {
@@ -70,8 +71,8 @@
   template <typename T, typename Parse>
   auto run(const StoreRequest &request, Duration timeout, Parse parse,
            Callback<T> done) -> void;
-  auto listPage(std::string prefix, const std::string &next, ObjectList soFar,
-                Callback<ObjectList> done) -> void;
+  auto listPage(const std::string &prefix, const std::string &next,
+                ObjectList soFar, Callback<ObjectList> done) -> void;
 
   boost::asio::io_context &Io;
   HttpPlatformSettings Settings;
--- a/src/store/mirror_api.cpp
+++ b/src/store/mirror_api.cpp
@@ -13,13 +13,16 @@
 static auto toResponse(const absl::StatusOr<ObjectList> &r) -> HttpResponse {
   constexpr unsigned Ok = 200;
   constexpr unsigned Gone = 410;
+  constexpr unsigned PreconditionFailed = 412;
   constexpr unsigned ServiceUnavailable = 503;
   if (r.ok())
     return {Ok, "application/json", formatObjectList(*r), {}};
-  return {absl::IsOutOfRange(r.status()) ? Gone : ServiceUnavailable,
-          "application/json",
-          "{}",
-          {}};
+  auto status = ServiceUnavailable;
+  if (absl::IsOutOfRange(r.status()))
+    status = Gone;
+  if (absl::IsFailedPrecondition(r.status()))
+    status = PreconditionFailed;
+  return {status, "application/json", "{}", {}};
 }
 
 auto makeMirrorApi(ObjectMirror &mirror, const Clock &time) -> HttpHandler {
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -44,7 +44,7 @@
   auto &p = Prefixes[prefix];
   p.Confirmed = confirmed;
   if (!confirmed)
-    endAll(p, absl::UnavailableError("the view is not confirmed"));
+    endAll(p, absl::FailedPreconditionError("the view is not confirmed"));
 }
 
 auto ObjectMirror::list(const std::string &prefix, bool evenUnconfirmed) const
@@ -52,7 +52,7 @@
   const auto it = Prefixes.find(prefix);
   if (it == Prefixes.end() || it->second.Version == 0 ||
       (!it->second.Confirmed && !evenUnconfirmed))
-    return absl::UnavailableError("the view is not confirmed");
+    return absl::FailedPreconditionError("the view is not confirmed");
   ObjectList out;
   out.CurrentVersion = it->second.Version;
   for (const auto &[key, object] : it->second.Objects)
@@ -77,7 +77,7 @@
                          TimePoint until, Done done) -> void {
   auto &p = Prefixes[prefix];
   if (!p.Confirmed)
-    return done(absl::UnavailableError("the view is not confirmed"));
+    return done(absl::FailedPreconditionError("the view is not confirmed"));
   auto events = eventsAfter(p, after);
   if (!events.ok() || !events->Events.empty())
     return done(std::move(events));
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -4,8 +4,8 @@
 /// (docs/API.md, "Platform object API"), lists and watches only.
 ///
 /// A mirror serves a prefix only while its own view of it is confirmed; else
-/// it answers Unavailable, and its readers go to the store themselves. So no
-/// reader is ever more behind than the mirror's own limit allows.
+/// it answers FailedPrecondition, and its readers go to the store themselves.
+/// So no reader is ever more behind than the mirror's own limit allows.
 ///
 /// Free of I/O; not thread-safe.
 #ifndef BORAGEBRIDGE_STORE_OBJECT_MIRROR_H
@@ -41,14 +41,14 @@
   /// no longer is.
   auto setConfirmed(const std::string &prefix, bool confirmed) -> void;
 
-  /// Everything below \p prefix, or Unavailable. \p evenUnconfirmed is for a
-  /// reader that has just started and reaches no store: an old view is better
-  /// than none.
+  /// Everything below \p prefix, or FailedPrecondition. \p evenUnconfirmed is
+  /// for a reader that has just started and reaches no store: an old view is
+  /// better than none.
   auto list(const std::string &prefix, bool evenUnconfirmed = false) const
       -> absl::StatusOr<ObjectList>;
   /// Calls \p done, at once or later, with the events after \p after, with
   /// none when there are none until \p until, with OutOfRange when they are
-  /// not all kept, or with Unavailable or ResourceExhausted.
+  /// not all kept, or with FailedPrecondition or ResourceExhausted.
   auto watch(const std::string &prefix, ObjectVersion after, TimePoint until,
              Done done) -> void;
   /// Ends watches whose time is over.
--- a/src/store/relayed_platform.cpp
+++ b/src/store/relayed_platform.cpp
@@ -22,15 +22,27 @@
   return Parent.has_value() && Time.now() >= NotBefore;
 }
 
-auto RelayedPlatform::orFromStore(Callback<ObjectList> done, Retry retry)
+auto RelayedPlatform::mayAskInDoubt(const std::string &prefix) -> bool {
+  auto &last = AskedInDoubt[prefix];
+  const auto now = Time.now();
+  if (last != TimePoint{} && now - last < Options.DoubtPause)
+    return false;
+  last = now;
+  return true;
+}
+
+auto RelayedPlatform::orFromStore(const std::string &prefix,
+                                  Callback<ObjectList> done, Retry retry)
     -> Callback<ObjectList> {
-  return [this, alive = std::weak_ptr<bool>(Alive), parent = *Parent,
+  return [this, alive = std::weak_ptr<bool>(Alive), parent = *Parent, prefix,
           done = std::move(done),
           retry = std::move(retry)](absl::StatusOr<ObjectList> r) mutable {
     if (alive.expired())
       return;
     if (r.ok() || absl::IsOutOfRange(r.status()))
       return done(std::move(r));
+    if (absl::IsFailedPrecondition(r.status()))
+      return askInDoubt(parent, prefix, std::move(r), std::move(done), retry);
     if (Parent == parent)
       NotBefore = Time.now() + Options.ParentPause;
     Lost(parent, r.status());
@@ -39,6 +51,23 @@
   };
 }
 
+auto RelayedPlatform::askInDoubt(const Endpoint &parent,
+                                 const std::string &prefix,
+                                 absl::StatusOr<ObjectList> doubt,
+                                 Callback<ObjectList> done, const Retry &retry)
+    -> void {
+  if (!mayAskInDoubt(prefix))
+    return done(std::move(doubt));
+  ++StoreCalls;
+  retry([this, alive = std::weak_ptr<bool>(Alive), parent, why = doubt.status(),
+         done = std::move(done)](absl::StatusOr<ObjectList> r) {
+    // The store answers this instance: the doubt is the parent's alone.
+    if (!alive.expired() && r.ok())
+      Lost(parent, why);
+    done(std::move(r));
+  });
+}
+
 auto RelayedPlatform::list(std::string prefix, Callback<ObjectList> done)
     -> void {
   if (!hasParent()) {
@@ -46,11 +75,11 @@
     return Store.list(std::move(prefix), std::move(done));
   }
   ++ParentCalls;
-  Clients.at(*Parent)->list(
-      prefix,
-      orFromStore(std::move(done), [this, prefix](Callback<ObjectList> f) {
-        Store.list(prefix, std::move(f));
-      }));
+  Clients.at(*Parent)->list(prefix,
+                            orFromStore(prefix, std::move(done),
+                                        [this, prefix](Callback<ObjectList> f) {
+                                          Store.list(prefix, std::move(f));
+                                        }));
 }
 
 auto RelayedPlatform::watch(std::string prefix, ObjectVersion after,
@@ -62,11 +91,12 @@
   ++ParentCalls;
   Clients.at(*Parent)->watch(
       prefix, after, std::min(wait, Options.ParentWait),
-      orFromStore(
-          std::move(done), [this, prefix, after](Callback<ObjectList> f) {
-            // A short one, to learn soon what was missed.
-            Store.watch(prefix, after, Options.ParentWait, std::move(f));
-          }));
+      orFromStore(prefix, std::move(done),
+                  [this, prefix, after](Callback<ObjectList> f) {
+                    // A short one, to learn soon what was missed.
+                    Store.watch(prefix, after, Options.ParentWait,
+                                std::move(f));
+                  }));
 }
 
 auto RelayedPlatform::get(std::string key, Callback<StoredObject> done)
--- a/src/store/relayed_platform.h
+++ b/src/store/relayed_platform.h
@@ -2,7 +2,8 @@
 /// Decorates a PlatformClient: lists and watches go to a parent's mirror where
 /// there is one, everything else to the store itself. A call that the parent
 /// does not answer goes to the store at once, and the parent is left alone for
-/// a while.
+/// a while. A parent that is not sure of its view (FailedPrecondition) is kept
+/// unless the store answers: most likely the store is away for all.
 #ifndef BORAGEBRIDGE_STORE_RELAYED_PLATFORM_H
 #define BORAGEBRIDGE_STORE_RELAYED_PLATFORM_H
 
@@ -19,6 +20,9 @@
   /// Longest wait of a watch at a parent: a parent that froze is found out
   /// after this and the client's grace.
   Duration ParentWait = std::chrono::milliseconds(800);
+  /// While the parent is not sure of its view, the store is asked for the same
+  /// prefix at most once in this time: most likely it is away for all.
+  Duration DoubtPause = std::chrono::milliseconds(1200);
   /// How long a parent that failed is left alone.
   Duration ParentPause = std::chrono::seconds(3);
 };
@@ -70,9 +74,17 @@
 private:
   using Retry = std::function<void(Callback<ObjectList>)>;
 
-  /// Passes on what the parent answered; \p retry asks the store instead.
-  auto orFromStore(Callback<ObjectList> done, Retry retry)
-      -> Callback<ObjectList>;
+  /// Passes on what the parent answered for \p prefix; \p retry asks the store
+  /// instead.
+  auto orFromStore(const std::string &prefix, Callback<ObjectList> done,
+                   Retry retry) -> Callback<ObjectList>;
+  /// The parent is alive but not sure of its view, and said \p doubt.
+  auto askInDoubt(const Endpoint &parent, const std::string &prefix,
+                  absl::StatusOr<ObjectList> doubt, Callback<ObjectList> done,
+                  const Retry &retry) -> void;
+  /// Whether the store may be asked for \p prefix while the parent is alive
+  /// but not sure of its view. Notes it.
+  auto mayAskInDoubt(const std::string &prefix) -> bool;
 
   PlatformClient &Store;
   const Clock &Time;
@@ -83,6 +95,8 @@
   /// Of all parents so far, as a client that is destroyed drops its calls.
   std::map<Endpoint, std::unique_ptr<PlatformClient>> Clients;
   TimePoint NotBefore;
+  /// When the store was last asked in doubt, by prefix.
+  std::map<std::string, TimePoint> AskedInDoubt;
   std::uint64_t StoreCalls = 0;
   std::uint64_t ParentCalls = 0;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/store/tls_exchange.cpp
+++ b/src/store/tls_exchange.cpp
@@ -14,11 +14,11 @@
 namespace beast = boost::beast;
 
 static auto exchangeOverTls(std::shared_ptr<asio::ssl::context> tls,
-                            std::string serverName, Endpoint to,
+                            std::string serverName,
+                            asio::any_io_executor executor, Endpoint to,
                             StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult {
-  beast::ssl_stream<beast::tcp_stream> stream(
-      co_await asio::this_coro::executor, *tls);
+  beast::ssl_stream<beast::tcp_stream> stream(std::move(executor), *tls);
   beast::get_lowest_layer(stream).expires_after(limits.Timeout);
   if (auto s = co_await connectTo(beast::get_lowest_layer(stream), to); !s.ok())
     co_return s;
@@ -37,8 +37,10 @@
 auto makeTlsTransport(std::shared_ptr<asio::ssl::context> tls,
                       std::string serverName) -> StoreTransport {
   return [tls = std::move(tls), serverName = std::move(serverName)](
-             Endpoint to, StoreHttpRequest request, ExchangeLimits limits) {
-    return exchangeOverTls(tls, serverName, to, std::move(request), limits);
+             asio::any_io_executor executor, Endpoint to,
+             StoreHttpRequest request, ExchangeLimits limits) {
+    return exchangeOverTls(tls, serverName, std::move(executor), to,
+                           std::move(request), limits);
   };
 }
 
--- a/test/edge/estimates_test.cpp
+++ b/test/edge/estimates_test.cpp
@@ -48,6 +48,15 @@
   BOOST_TEST(!Loads.isAvoided(upstream("i-1"), now()));
 }
 
+BOOST_AUTO_TEST_CASE(FirstStrikeIsToldOnce) {
+  strike("i-1");
+  strike("i-1");
+  const auto all = Loads.takeSuspects();
+  BOOST_TEST_REQUIRE(all.size() == 1U);
+  BOOST_TEST((all.front() == tagOf("i-1", seconds(1000))));
+  BOOST_TEST(Loads.takeSuspects().empty());
+}
+
 BOOST_AUTO_TEST_CASE(FurtherStrikesAvoidItLonger) {
   strike("i-1");
   strike("i-1");
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -66,6 +66,19 @@
   BOOST_TEST(Loads.strikes(*u) == 0U);
 }
 
+// Soak seeds 2 to 4: an instance that was stopped for seconds sent openings on
+// that had waited, while copies had opened the flows elsewhere.
+BOOST_AUTO_TEST_CASE(OpeningThatWaitedThroughALongPauseIsDropped) {
+  start({record("i-1", 1)});
+  advance(milliseconds(40));
+  Time.advance(milliseconds(1200));
+  const auto d = Decide.decide(opening(1), now());
+  BOOST_TEST((d.What == EdgeAction::Drop));
+  BOOST_TEST((d.Why == EdgeReason::Stale));
+  Decide.tick(now());
+  BOOST_TEST((Decide.decide(opening(1), now()).What == EdgeAction::Forward));
+}
+
 BOOST_AUTO_TEST_CASE(FlowOfAnUpstreamThatIsGoneIsReset) {
   start({record("i-1", 1), record("i-2", 2)});
   advance(seconds(3));
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -36,7 +36,7 @@
 BOOST_FIXTURE_TEST_SUITE(StoreObjectMirror, MirrorFixture)
 
 BOOST_AUTO_TEST_CASE(ListHoldsWhatTheViewHolds) {
-  BOOST_TEST(absl::IsUnavailable(Mirror.list("p/").status()));
+  BOOST_TEST(absl::IsFailedPrecondition(Mirror.list("p/").status()));
   start();
   Mirror.apply("p/", {{object("p/a", 5, true), object("p/c", 8)}, 9});
   const auto l = Mirror.list("p/");
@@ -93,11 +93,11 @@
   watch(7);
   Mirror.setConfirmed("p/", false);
   BOOST_TEST_REQUIRE(Answer.has_value());
-  BOOST_TEST(absl::IsUnavailable(Answer->status()));
+  BOOST_TEST(absl::IsFailedPrecondition(Answer->status()));
   BOOST_TEST(!Mirror.list("p/").ok());
   BOOST_TEST(Mirror.list("p/", true).ok());
   watch(7);
-  BOOST_TEST(absl::IsUnavailable(Answer->status()));
+  BOOST_TEST(absl::IsFailedPrecondition(Answer->status()));
   Mirror.setConfirmed("p/", true);
   BOOST_TEST(Mirror.list("p/").ok());
 }
--- a/test/store/relayed_platform_test.cpp
+++ b/test/store/relayed_platform_test.cpp
@@ -72,6 +72,35 @@
   BOOST_TEST(Relay.hasParent());
 }
 
+// trouble-3 of cenacolo-bridge-grown: 6,525 calls, most of them of instances
+// that each tried the store while it was down for all.
+BOOST_AUTO_TEST_CASE(StoreIsAskedSeldomWhileParentAndStoreAreInDoubt) {
+  Relay.setParent(Parent);
+  auto toStore = 0;
+  for (int i = 0; i < 30; ++i) {
+    watch();
+    Mirror->answer("p/", absl::FailedPreconditionError("not confirmed"));
+    if (!Store.Open.empty()) {
+      ++toStore;
+      Store.answer("p/", absl::UnavailableError("down"));
+    }
+    BOOST_TEST(!Answer.ok());
+    Time.advance(std::chrono::milliseconds(100));
+  }
+  BOOST_TEST(toStore == 3);
+  BOOST_TEST(Lost == 0U);
+  BOOST_TEST(Relay.hasParent());
+}
+
+BOOST_AUTO_TEST_CASE(ParentInDoubtIsLostWhenTheStoreAnswers) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", absl::FailedPreconditionError("not confirmed"));
+  Store.answer("p/", ObjectList{{}, 11});
+  BOOST_TEST(Answer.ok());
+  BOOST_TEST(Lost == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(HistoryThatIsGoneIsAnAnswer) {
   Relay.setParent(Parent);
   watch();
