--- a/soak/soak.py
+++ b/soak/soak.py
@@ -391,16 +391,16 @@
         caller.datagram_received(bytes(forged), ("on purpose", 0))
 
     async def show_an_old_view(self):
-        """One instance starts again and is told the store's earlier state."""
+        """All start again and are told what the store held earlier."""
         old = store_module.Store()
         old.objects = dict(self.store.objects)
         old.revision = self.store.revision
-        it = self.pick_upstream()
-        it.drain()
-        instance = self.instances[0]
-        instance.listener.frozen_view = old
-        await instance.end(signal.SIGKILL)
-        await instance.start()
+        for it in self.instances:
+            it.listener.frozen_view = old
+            await it.end(signal.SIGKILL)
+        for it in self.instances:
+            await it.start()
+        self.pick_upstream().drain()
 
     async def run(self):
         await self.start()
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -80,12 +80,16 @@
 }
 
 auto EdgeViews::askSeeds(TimePoint now) -> void {
-  if (isComplete() || Options.Seeds.empty() || now < NextSeed)
+  if (isComplete() || Options.Seeds.empty())
+    return;
+  if (NextSeed == TimePoint{})
+    NextSeed = now + Options.SeedPause;
+  // A refusal shows at once what silence shows only with time.
+  const auto isDue = now >= NextSeed || (Seed == 0 && !isStoreReachable());
+  if (!isDue)
     return;
-  // The store comes first.
-  if (NextSeed != TimePoint{})
-    adoptFrom(Options.Seeds[Seed++ % Options.Seeds.size()]);
   NextSeed = now + Options.SeedPause;
+  adoptFrom(Options.Seeds[Seed++ % Options.Seeds.size()]);
 }
 
 auto EdgeViews::onSeedOffered(const Endpoint &address) -> void {
@@ -115,7 +119,7 @@
 auto EdgeViews::nextOffers(TimePoint now) -> std::vector<Endpoint> {
   if (now < NextOffer || !isComplete() || isStoreReachable())
     return {};
-  NextOffer = now + Options.SeedPause;
+  NextOffer = now + Options.OfferPause;
   std::vector<Endpoint> out;
   for (const auto &[name, it] : Members)
     if (name != Options.Self.Name && it.DataCentre == Options.Self.DataCentre)
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -28,8 +28,12 @@
   Duration Gather = std::chrono::milliseconds(250);
   /// Between two attempts to register.
   Duration RegisterPause = std::chrono::seconds(3);
-  /// Between two seeds that are asked, and between two rounds of offers.
-  Duration SeedPause = std::chrono::milliseconds(400);
+  /// Between two seeds that are asked after a start, the store coming first:
+  /// its lists are long where there are many upstreams, and seeds may be in
+  /// other data centres.
+  Duration SeedPause = std::chrono::milliseconds(1200);
+  /// Between two rounds of offers.
+  Duration OfferPause = std::chrono::milliseconds(400);
   /// A new instance opens no flow to a cold upstream for so long after it
   /// registered, so that all others have counted it.
   Duration NewMemberWait = std::chrono::seconds(20);
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -186,6 +186,33 @@
   BOOST_TEST(Known.size() == 0U);
 }
 
+// sweep of cenacolo-bridge-grown: with 3,000 upstreams each start read the
+// lists of seeds in other data centres, as the store took over 400 ms.
+BOOST_AUTO_TEST_CASE(SeedsAreAskedWhenTheStoreRefusesOrStaysSilent) {
+  auto asked = 0;
+  RelayedPlatform relay(
+      Store, Time,
+      [&](const Endpoint &, MirrorView) {
+        ++asked;
+        return std::make_unique<ScriptedStore>();
+      },
+      [](const auto &, const auto &) {});
+  EdgeViews views(Time, Random, Log, relay, Format, Known, Cold,
+                  {.Self = Self, .Seeds = {{1, 1}, {2, 1}}});
+  views.tick(Time.now());
+  Time.advance(seconds(1));
+  views.tick(Time.now());
+  BOOST_TEST(asked == 0);
+  Store.answer("servers/", absl::UnavailableError("refused"));
+  views.tick(Time.now());
+  BOOST_TEST(asked == 1);
+  views.tick(Time.now());
+  BOOST_TEST(asked == 1);
+  Time.advance(milliseconds(1200));
+  views.tick(Time.now());
+  BOOST_TEST(asked == 2);
+}
+
 BOOST_AUTO_TEST_CASE(InstanceOffersItsViewsWhileTheStoreIsAway) {
   start();
   auto other = Self;
