Read the settings again at SIGHUP and every few seconds; name stale openings

Settings may change without a signal: a new address of the store took effect only with the next start. Tried by hand with a file that changed its store and then lost a key. The reason 'stale' had no name, seen in /metrics.

--- a/src/edge/cold_share.h
+++ b/src/edge/cold_share.h
@@ -31,6 +31,8 @@
   /// \p self is this instance's name.
   ColdShare(std::string_view self, ColdShareOptions opt);
 
+  /// The limits of cold upstreams from now on.
+  auto setOptions(const ColdShareOptions &opt) -> void { Options = opt; }
   /// All instances that ever registered.
   auto setMembers(const std::vector<std::string> &names) -> void;
   /// This instance opens nothing to cold upstreams before \p t.
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -26,6 +26,7 @@
 
 constexpr auto TickInterval = std::chrono::milliseconds(20);
 constexpr auto ExpireInterval = std::chrono::seconds(1);
+constexpr auto ReloadInterval = std::chrono::seconds(3);
 constexpr auto StoreTimeout = std::chrono::milliseconds(1500);
 constexpr auto WatchGrace = std::chrono::milliseconds(1000);
 constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
@@ -42,8 +43,8 @@
 class EdgeServer {
 public:
   EdgeServer(const EdgeSettings &s, const EdgeAdapter &a,
-             std::function<absl::Status()> reload)
-      : Settings(s), Adapter(a), Reload(std::move(reload)),
+             ReadEdgeSettings reread)
+      : Settings(s), Adapter(a), Reread(std::move(reread)),
         Log(s.InstanceName, Time), Store(Io, {.Address = s.Store,
                                               .Dialect = a.Store,
                                               .Timeout = StoreTimeout,
@@ -86,12 +87,13 @@
   auto scheduleTick() -> void;
   auto tick() -> void;
   auto logBeliefs(TimePoint lastTick) -> void;
+  auto reload() -> void;
   auto awaitSignal() -> void;
   auto beginStop() -> void;
 
-  const EdgeSettings &Settings;
+  EdgeSettings Settings;
   const EdgeAdapter &Adapter;
-  std::function<absl::Status()> Reload;
+  ReadEdgeSettings Reread;
   BootClock Time;
   StreamLog Log;
   asio::io_context Io{1};
@@ -119,6 +121,8 @@
   TimePoint Now;
   TimePoint Ticked;
   TimePoint Expired;
+  TimePoint NextReload;
+  absl::Status LastReload;
   bool WasReady = false;
   std::optional<TimePoint> StopAt;
 };
@@ -129,6 +133,7 @@
   Log.write(events::ProcessStarted, {{"packets", toString(Settings.Packets)},
                                      {"store", toString(Settings.Store)},
                                      {"version", BORAGEBRIDGE_VERSION}});
+  NextReload = Time.now() + ReloadInterval;
   awaitSignal();
   tick();
   Io.run();
@@ -321,6 +326,8 @@
   logBeliefs(std::exchange(Ticked, Now));
   Views.tick(Now);
   offerViews();
+  if (Now >= NextReload)
+    reload();
   if (Now - Expired >= ExpireInterval) {
     Known.expire(Now);
     Expired = Now;
@@ -351,17 +358,34 @@
                  {"expected_ms", inMilliseconds(Loads.expectedTime(*u, Now))}});
 }
 
+auto EdgeServer::reload() -> void {
+  NextReload = Now + ReloadInterval;
+  auto s = Reread();
+  const auto isChanged = s.ok() && *s != Settings;
+  if (s.ok() && !isChanged)
+    return;
+  if (!s.ok() && s.status() == LastReload)
+    return;
+  LastReload = s.status();
+  Log.write(events::SettingsReloaded,
+            {{"result", s.ok() ? "changed" : std::string(s.status().message())},
+             {"store", toString(s.ok() ? s->Store : Settings.Store)}});
+  if (!s.ok())
+    return;
+  Settings = *std::move(s);
+  Store.setAddress(Settings.Store);
+  Views.setSeeds(Settings.Seeds);
+  Cold.setOptions({.Factor = Settings.ColdFactor, .Slack = Settings.ColdSlack});
+}
+
 auto EdgeServer::awaitSignal() -> void {
   Signals.async_wait([this](auto ec, int number) {
     if (ec)
       return;
-    if (number == SIGHUP) {
-      const auto s = Reload();
-      Log.write(events::SettingsReloaded,
-                {{"result", s.ok() ? "ok" : std::string(s.message())}});
-    } else {
+    if (number == SIGHUP)
+      reload();
+    else
       beginStop();
-    }
     awaitSignal();
   });
 }
@@ -377,9 +401,9 @@
 } // namespace
 
 auto runEdge(const EdgeSettings &settings, const EdgeAdapter &adapter,
-             const std::function<absl::Status()> &reload) -> absl::Status {
+             const ReadEdgeSettings &reread) -> absl::Status {
   // On the heap: the server holds buffers of many kilobytes.
-  return std::make_unique<EdgeServer>(settings, adapter, reload)->run();
+  return std::make_unique<EdgeServer>(settings, adapter, reread)->run();
 }
 
 } // namespace boragebridge
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -8,7 +8,7 @@
 #include "edge/edge_adapter.h"
 #include "store/store_dialect.h"
 
-#include "absl/status/status.h"
+#include "absl/status/statusor.h"
 
 #include <functional>
 #include <memory>
@@ -37,8 +37,13 @@
   double ColdSlack = 0;
   /// From the order to stop to the end of the process; flows go on meanwhile.
   Duration StopDelay = std::chrono::milliseconds(2200);
+
+  auto operator==(const EdgeSettings &) const -> bool = default;
 };
 
+/// Reads the settings again; an error leaves those in force.
+using ReadEdgeSettings = std::function<absl::StatusOr<EdgeSettings>()>;
+
 /// How to speak with the platform.
 struct EdgeAdapter {
   std::shared_ptr<const PacketFormat> Packets;
@@ -46,10 +51,13 @@
   std::shared_ptr<const StoreDialect> Store;
 };
 
-/// Runs until SIGTERM or SIGINT. \p reload is called at SIGHUP and returns
-/// the settings to log. Unavailable when an address cannot be bound.
+/// Runs until SIGTERM or SIGINT. \p reread is called at SIGHUP and every few
+/// seconds, since settings may change without a signal; a change of the store,
+/// the seeds, the cold limits or the stop delay takes effect at once, one of a
+/// name or of an own address with the next start. Unavailable when an address
+/// cannot be bound.
 auto runEdge(const EdgeSettings &settings, const EdgeAdapter &adapter,
-             const std::function<absl::Status()> &reload) -> absl::Status;
+             const ReadEdgeSettings &reread) -> absl::Status;
 
 } // namespace boragebridge
 
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -54,6 +54,10 @@
 
   /// Starts the calls that are due. Call every few tens of milliseconds.
   auto tick(TimePoint now) -> void;
+  /// The seeds to ask from now on.
+  auto setSeeds(std::vector<Endpoint> all) -> void {
+    Options.Seeds = std::move(all);
+  }
   /// The mirror at \p address did not answer.
   auto onParentLost(const Endpoint &address, const absl::Status &why) -> void;
   /// An instance offers its mirror, at \p address, to those that start without
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -12,7 +12,7 @@
                               static_cast<std::size_t>(EdgeReason::Count)>
       Names{"opened",      "opened_again", "pinned",        "tagged",
             "no_route",    "no_upstream",  "upstream_gone", "upstream_dark",
-            "unknown_tag", "no_tag",       "not_ready"};
+            "unknown_tag", "no_tag",       "not_ready",     "stale"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -54,6 +54,9 @@
   HttpPlatform(boost::asio::io_context &io, HttpPlatformSettings settings);
   ~HttpPlatform() override;
 
+  /// Where the store is from the next call on.
+  auto setAddress(const Endpoint &e) -> void { Settings.Address = e; }
+
   auto get(std::string key, Callback<StoredObject> done) -> void override;
   /// Reads page after page; the list is current to the version of its first
   /// page.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -9,6 +9,14 @@
 
 BOOST_FIXTURE_TEST_SUITE(EdgeForwarder, EdgeFixture)
 
+BOOST_AUTO_TEST_CASE(EachReasonHasANameOfItsOwn) {
+  std::set<std::string_view> names;
+  for (std::size_t i = 0; i < static_cast<std::size_t>(EdgeReason::Count); ++i)
+    names.insert(toString(static_cast<EdgeReason>(i)));
+  BOOST_TEST(!names.contains(""));
+  BOOST_TEST(names.size() == static_cast<std::size_t>(EdgeReason::Count));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsDecidedBeforeTheViewsAreKnown) {
   BOOST_TEST((Decide.decide(opening(1), now()).What == EdgeAction::Drop));
 }
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -136,6 +136,14 @@
   BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
 }
 
+BOOST_AUTO_TEST_CASE(ChangedAddressHoldsFromTheNextCallOn) {
+  serve(Behaviour::Answer, 200, R"({"key":"k","value":"v","version":9})");
+  const Endpoint right{0x7F000001, Acceptor.local_endpoint().port()};
+  Client->setAddress({0x7F000001, 1});
+  Client->setAddress(right);
+  BOOST_TEST(get().ok());
+}
+
 BOOST_AUTO_TEST_CASE(DestroyedClientCallsNobody) {
   serve(Behaviour::Answer, 200, R"({"version":8})");
   auto called = false;
