Take no instance without a mirror for a parent

Read in review: an installation whose role serves no control address would have recorded address 0.0.0.0:0, and weaker instances would have asked it.

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -117,12 +117,14 @@
 }
 
 auto EdgeViews::nextOffers(TimePoint now) -> std::vector<Endpoint> {
-  if (now < NextOffer || !isComplete() || isStoreReachable())
+  if (now < NextOffer || !isComplete() || isStoreReachable() ||
+      Options.Self.Address.Port == 0)
     return {};
   NextOffer = now + Options.OfferPause;
   std::vector<Endpoint> out;
   for (const auto &[name, it] : Members)
-    if (name != Options.Self.Name && it.DataCentre == Options.Self.DataCentre)
+    if (name != Options.Self.Name && it.Address.Port != 0 &&
+        it.DataCentre == Options.Self.DataCentre)
       out.push_back(it.Address);
   return out;
 }
--- a/src/edge/relay_tree.cpp
+++ b/src/edge/relay_tree.cpp
@@ -34,7 +34,8 @@
 auto RelayTree::setMembers(const std::vector<MemberRecord> &all) -> void {
   Ranked.clear();
   for (const auto &it : all)
-    if (it.DataCentre == Self.DataCentre && it.Name != Self.Name)
+    if (it.DataCentre == Self.DataCentre && it.Name != Self.Name &&
+        it.Address.Port != 0)
       Ranked.push_back(it);
   Ranked.push_back(Self);
   std::sort(Ranked.begin(), Ranked.end(), [](const auto &a, const auto &b) {
--- a/src/edge/relay_tree.h
+++ b/src/edge/relay_tree.h
@@ -25,7 +25,7 @@
 struct MemberRecord {
   std::string Name;
   DataCentreId DataCentre{};
-  /// Of its mirror.
+  /// Of its mirror; port 0: it has none.
   Endpoint Address;
   /// Processor time that it has, in thousandths of a core.
   unsigned Strength = 0;
--- a/test/edge/relay_tree_test.cpp
+++ b/test/edge/relay_tree_test.cpp
@@ -63,6 +63,14 @@
   BOOST_TEST(!tree.parent(TimePoint()).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(MemberWithoutAMirrorIsNoParent) {
+  auto strong = member(2, 500);
+  strong.Address = {};
+  RelayTree tree(member(1, 28));
+  tree.setMembers({member(1, 28), strong});
+  BOOST_TEST(!tree.parent(TimePoint()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MemberThatIsDownIsReplacedForAWhile) {
   ManualClock time;
   const std::vector<MemberRecord> all{member(1, 28), member(2, 500),
