--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -137,19 +137,7 @@
                         TimePoint now) -> void {
   e.SeenAt = now;
   if (!e.Open || e.Tag != u.Tag) {
-    if (e.Tag == u.Tag && !e.Unanswered && e.FirstSequence != 0)
-      AnswerTime = now - e.OpenedAt;
-    e.Open = true;
-    e.Tag = u.Tag;
-    e.Index = u.Index;
-    e.Acknowledged = p.Acknowledged;
-    e.NextSequence = p.Sequence;
-    e.SentAt = now;
-    // The packet repeats what the upstream sent, so the upstream has answered.
-    if (AnswerTime > Duration::zero())
-      Loads.onAnswered(u, AnswerTime, now);
-    else if (e.FirstSequence != 0)
-      Loads.onProgress(u, now);
+    pin(p, e, u, now);
   } else if (isAfter(p.Acknowledged, e.Acknowledged)) {
     e.Acknowledged = p.Acknowledged;
     Loads.onProgress(u, now);
@@ -161,6 +149,7 @@
     e.RepeatedAt = now;
   }
   if (p.Length > 0 && isAfter(p.Sequence + p.Length, e.NextSequence)) {
+    // Data after a pause is a new request, not more of the last one.
     if (e.NextSequence == p.Sequence && now - e.SentAt > Options.AnswerTimeout)
       Loads.onWork(u, now);
     e.NextSequence = p.Sequence + p.Length;
@@ -168,6 +157,24 @@
   }
 }
 
+/// The packet repeats what the upstream sent, so the upstream has answered.
+auto Forwarder::pin(const FlowPacket &p, FlowEntry &e, const Upstream &u,
+                    TimePoint now) -> void {
+  const auto sawOpening = e.FirstSequence != 0;
+  if (sawOpening && e.Tag == u.Tag && !e.Unanswered)
+    AnswerTime = now - e.OpenedAt;
+  e.Open = true;
+  e.Tag = u.Tag;
+  e.Index = u.Index;
+  e.Acknowledged = p.Acknowledged;
+  e.NextSequence = p.Sequence;
+  e.SentAt = now;
+  if (AnswerTime > Duration::zero())
+    Loads.onAnswered(u, AnswerTime, now);
+  else if (sawOpening)
+    Loads.onProgress(u, now);
+}
+
 auto Forwarder::tick(TimePoint now) -> void {
   if (LastTick != TimePoint{} && now - LastTick > Options.LongestPause) {
     // The answers may lie unread or may have been dropped meanwhile.
@@ -175,19 +182,23 @@
     OpeningCount = 0;
   }
   LastTick = now;
-  while (OpeningCount > 0) {
-    const auto &first = Openings[FirstOpening];
-    if (now - first.At < Options.AnswerTimeout)
-      return;
-    auto *e = Flows.find(first.Flow);
-    if (e != nullptr && !e->Open && e->Tag == first.Tag && !e->Unanswered)
-      if (const auto *u = upstreamOf(*e)) {
-        e->Unanswered = true;
-        Loads.onUnanswered(*u, now);
-      }
+  while (OpeningCount > 0 &&
+         now - Openings[FirstOpening].At >= Options.AnswerTimeout) {
+    judgeOpening(Openings[FirstOpening], now);
     FirstOpening = (FirstOpening + 1) % Openings.size();
     --OpeningCount;
   }
 }
 
+auto Forwarder::judgeOpening(const Opening &o, TimePoint now) -> void {
+  auto *e = Flows.find(o.Flow);
+  if (e == nullptr || e->Open || e->Unanswered || e->Tag != o.Tag)
+    return;
+  const auto *u = upstreamOf(*e);
+  if (u == nullptr)
+    return;
+  e->Unanswered = true;
+  Loads.onUnanswered(*u, now);
+}
+
 } // namespace boragebridge
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -12,7 +12,8 @@
 ///   switch (const auto d = forwarder.decide(packet, now); d.What) { ... }
 /// \endcode
 ///
-/// Free of I/O; allocates nothing for a packet; not thread-safe.
+/// Free of I/O; not thread-safe. Allocates nothing for a packet, except when
+/// suspicion of a data centre begins.
 #ifndef BORAGEBRIDGE_EDGE_FORWARDER_H
 #define BORAGEBRIDGE_EDGE_FORWARDER_H
 
@@ -106,6 +107,9 @@
   auto carryOn(const FlowPacket &p, TimePoint now) -> EdgeDecision;
   auto observe(const FlowPacket &p, FlowEntry &e, const Upstream &u,
                TimePoint now) -> void;
+  auto pin(const FlowPacket &p, FlowEntry &e, const Upstream &u, TimePoint now)
+      -> void;
+  auto judgeOpening(const Opening &o, TimePoint now) -> void;
   auto upstreamOf(const FlowEntry &e) const -> const Upstream *;
   auto awaitAnswer(const FlowEntry &e, TimePoint now) -> void;
 
