--- a/test/edge/cold_share_test.cpp
+++ b/test/edge/cold_share_test.cpp
@@ -28,6 +28,7 @@
 /// flows an upstream got in its worst second.
 auto worstSecond(const ColdShareFixture &f, int n, double perSecond) -> int {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i)
     names.push_back("instance-" + std::to_string(i));
   std::vector<std::unique_ptr<ColdShare>> fleet;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -172,6 +172,7 @@
   start({record("i-1", 1)});
   const auto tag = tagOf("i-1", seconds(1000));
   std::vector<std::uint16_t> ports;
+  ports.reserve(4);
   for (int i = 0; i < 4; ++i)
     ports.push_back(openAnswered());
   advance(milliseconds(200));
--- a/test/edge/relay_tree_test.cpp
+++ b/test/edge/relay_tree_test.cpp
@@ -20,6 +20,7 @@
 
 auto fleet(int n) -> std::vector<MemberRecord> {
   std::vector<MemberRecord> all;
+  all.reserve(static_cast<std::size_t>(n));
   for (int i = 0; i < n; ++i)
     all.push_back(member(i));
   return all;
