--- a/soak/soak.py
+++ b/soak/soak.py
@@ -156,11 +156,11 @@
             return
         asked = upstream.refuse_since
         if asked and self.is_store_in_touch(asked) and (
-                flow.opened_at > asked + DRAIN_S):
+                flow.started > asked + DRAIN_S):
             self.promises.fail("drain_ignored", where)
         asked = self.withdrawn.get(upstream.zone)
         if asked and self.is_store_in_touch(asked) and (
-                flow.opened_at > asked + WITHDRAW_S):
+                flow.started > asked + WITHDRAW_S):
             self.promises.fail("withdrawal_ignored", where)
 
     def judge_cold(self, upstream, where):
@@ -381,10 +381,8 @@
                 it.drain()
 
     def reset_a_living_flow(self):
-        caller = self.callers[0]
-        sport, flow = next((s, f) for c in self.callers
-                           for s, f in c.flows.items() if f.host)
-        caller = next(c for c in self.callers if c.flows.get(sport) is flow)
+        caller, sport, flow = next((c, s, f) for c in self.callers
+                                   for s, f in c.flows.items() if f.host)
         forged = wire.Packet(wire.RST, *flow.service, caller.number, sport)
         forged = bytearray(forged.encode())
         forged[-4:] = bytes(4)
--- a/soak/world.py
+++ b/soak/world.py
@@ -123,8 +123,9 @@
 
 
 class Flow:
-    def __init__(self, service, is_long):
-        self.service, self.is_long = service, is_long
+    def __init__(self, service):
+        self.service = service
+        self.started = time.monotonic()
         self.answered = asyncio.Event()
         self.reset = False
         self.host = None
@@ -202,8 +203,7 @@
     async def run_flow(self, service, requests, pause_s):
         """Opens a flow and sends requests on it; counts the outcome."""
         sport = self.next_port = 1024 + (self.next_port - 1023) % 60000
-        flow = self.flows[sport] = Flow(service, requests > 1)
-        flow.opened_at = time.monotonic()
+        flow = self.flows[sport] = Flow(service)
         is_good = await self.exchange(
             lambda copy: self.send(sport, flow, wire.SYN, 1000, copy), flow)
         self.world.count("opened" if is_good else "not_opened")
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <tuple>
 #include <unordered_set>
+#include <utility>
 
 namespace boragebridge {
 
@@ -90,6 +91,7 @@
   u.Record = r;
   u.Tag = tagOf(r.Name, r.StartedAt);
   u.ColdUntil = now + r.ColdFor;
+  ByServiceIsOld = true;
   ByName[r.Name] = u.Index;
   claimTag(u);
   claimAddress(r.Address, u.Index);
@@ -99,6 +101,8 @@
     -> void {
   if (r.ColdFor != u.Record.ColdFor)
     u.ColdUntil = now + r.ColdFor;
+  if (r.Service != u.Record.Service)
+    ByServiceIsOld = true;
   if (r.Address != u.Record.Address)
     claimAddress(r.Address, u.Index);
   u.Record = r;
@@ -118,6 +122,7 @@
 auto Directory::endLifetime(UpstreamIndex i) -> void {
   auto &u = Slots[i].Value;
   u.Ended = true;
+  ByServiceIsOld = true;
   const auto it = ByName.find(u.Record.Name);
   if (it != ByName.end() && it->second == i)
     ByName.erase(it);
@@ -142,7 +147,6 @@
     return;
   Slots[it->second].Value.MissingSince = now;
   ByName.erase(it);
-  rebuild();
 }
 
 auto Directory::setConfiguration(EdgeConfiguration c) -> bool {
@@ -170,7 +174,6 @@
 }
 
 auto Directory::expire(TimePoint now) -> void {
-  auto changed = false;
   for (auto &it : Slots) {
     auto &u = it.Value;
     if (!it.Used)
@@ -180,7 +183,7 @@
     if (!u.MissingSince || now - *u.MissingSince < Options.Memory)
       continue;
     it.Used = false;
-    changed = true;
+    ByServiceIsOld = true;
     Free.push_back(u.Index);
     if (const auto tag = ByTag.find(static_cast<std::uint32_t>(u.Tag));
         tag != ByTag.end() && tag->second == u.Index)
@@ -189,7 +192,7 @@
         address != ByAddress.end() && address->second == u.Index)
       ByAddress.erase(address);
   }
-  if (!changed)
+  if (!ByServiceIsOld)
     return;
   // A tag that two upstreams shared now names the one that is left.
   for (const auto &it : Slots)
@@ -247,6 +250,8 @@
 }
 
 auto Directory::rebuild() -> void {
+  if (!std::exchange(ByServiceIsOld, false))
+    return;
   ByService.clear();
   for (const auto &it : Slots)
     if (it.Used && !it.Value.Ended)
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -93,9 +93,6 @@
   auto route(const Endpoint &address) const -> const RouteRecord *;
   /// The upstream that \p tag names, gone ones included, or null.
   auto find(UpstreamTag tag) const -> const Upstream *;
-  auto at(UpstreamIndex index) const -> const Upstream & {
-    return Slots[index].Value;
-  }
   /// The upstreams of \p service that are registered or not yet gone.
   auto upstreamsOf(ServiceId service) const
       -> const std::vector<const Upstream *> &;
@@ -132,6 +129,7 @@
   /// Ends the lifetime that had \p address before \p owner.
   auto claimAddress(const Endpoint &address, UpstreamIndex owner) -> void;
   auto endLifetime(UpstreamIndex i) -> void;
+  /// Makes ByService again when a lifetime came, ended or changed its service.
   auto rebuild() -> void;
   auto claimTag(const Upstream &u) -> void;
 
@@ -143,6 +141,7 @@
   std::unordered_map<Endpoint, UpstreamIndex> ByAddress;
   std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
   std::unordered_map<std::uint64_t, std::vector<const Upstream *>> ByService;
+  bool ByServiceIsOld = false;
   std::unordered_map<Endpoint, std::size_t> Routes;
   std::unordered_map<std::uint64_t, double> ColdRates;
   EdgeConfiguration Config;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -32,8 +32,10 @@
 constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
 /// Where an instance offers its mirror; the body is the mirror's address.
 constexpr auto SeedPath = "/v1/seed";
-constexpr unsigned Ok = 200;
-constexpr unsigned NotReady = 503;
+
+auto textResponse(HttpStatus status, std::string text) -> HttpResponse {
+  return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
+}
 
 auto inMilliseconds(Duration d) -> std::string {
   return std::to_string(
@@ -189,12 +191,9 @@
       return mirror(r, respond);
     Endpoint address;
     if (!parseEndpoint(r.Body, address))
-      return respond({static_cast<unsigned>(HttpStatus::BadRequest),
-                      "text/plain",
-                      "no address\n",
-                      {}});
+      return respond(textResponse(HttpStatus::BadRequest, "no address\n"));
     Views.onSeedOffered(address);
-    respond({Ok, "text/plain", "", {}});
+    respond(textResponse(HttpStatus::Ok, ""));
   };
 }
 
@@ -273,12 +272,13 @@
 
 auto EdgeServer::answer(const HttpRequest &r) -> HttpResponse {
   if (r.Target == "/metrics")
-    return {Ok, "text/plain; version=0.0.4", renderMetrics(), {}};
-  const auto isReady = Views.isComplete() && !StopAt;
-  return {isReady ? Ok : NotReady,
-          "text/plain",
-          isReady ? "ready" : "not ready",
-          {}};
+    return {static_cast<unsigned>(HttpStatus::Ok),
+            "text/plain; version=0.0.4",
+            renderMetrics(),
+            {}};
+  if (Views.isComplete() && !StopAt)
+    return textResponse(HttpStatus::Ok, "ready");
+  return textResponse(HttpStatus::ServiceUnavailable, "not ready");
 }
 
 auto EdgeServer::renderMetrics() -> std::string {
@@ -361,12 +361,10 @@
 auto EdgeServer::reload() -> void {
   NextReload = Now + ReloadInterval;
   auto s = Reread();
-  const auto isChanged = s.ok() && *s != Settings;
-  if (s.ok() && !isChanged)
-    return;
-  if (!s.ok() && s.status() == LastReload)
-    return;
+  const auto isNews = s.ok() ? *s != Settings : s.status() != LastReload;
   LastReload = s.status();
+  if (!isNews)
+    return;
   Log.write(events::SettingsReloaded,
             {{"result", s.ok() ? "changed" : std::string(s.status().message())},
              {"store", toString(s.ok() ? s->Store : Settings.Store)}});
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -145,25 +145,26 @@
                          Withdrawals.confirmedAt()});
 }
 
-auto EdgeViews::decode(const StoredObject &o, UpstreamRecord &out) -> bool {
+auto EdgeViews::logRefused(const StoredObject &o, const absl::Status &why)
+    -> void {
+  Log.write(events::RecordRefused, {{"key", o.Key},
+                                    {"version", std::to_string(o.Version)},
+                                    {"why", std::string(why.message())}});
+}
+
+auto EdgeViews::decode(const StoredObject &o)
+    -> absl::StatusOr<UpstreamRecord> {
   auto r = Format.decodeUpstream(o);
-  if (!r.ok()) {
-    Log.write(events::RecordRefused,
-              {{"key", o.Key},
-               {"version", std::to_string(o.Version)},
-               {"why", std::string(r.status().message())}});
-    return false;
-  }
-  out = *std::move(r);
-  return true;
+  if (!r.ok())
+    logRefused(o, r.status());
+  return r;
 }
 
 auto EdgeViews::onUpstreamList(const ObjectList &l) -> void {
   std::vector<UpstreamRecord> all;
-  UpstreamRecord record;
   for (const auto &it : l.Events)
-    if (decode(it.Object, record))
-      all.push_back(record);
+    if (auto r = decode(it.Object); r.ok())
+      all.push_back(*std::move(r));
   Known.replaceUpstreams(all, Time.now());
   for (const auto &it : all)
     logUpstream(it);
@@ -171,7 +172,6 @@
 
 auto EdgeViews::onUpstreamEvents(const ObjectList &l) -> void {
   const auto now = Time.now();
-  UpstreamRecord record;
   for (const auto &it : l.Events) {
     const auto name = nameInKey(it.Object.Key, Format.upstreamPrefix());
     if (it.Removed) {
@@ -179,9 +179,9 @@
       Log.write(
           events::UpstreamMissing,
           {{"upstream", name}, {"version", std::to_string(it.Object.Version)}});
-    } else if (decode(it.Object, record)) {
-      Known.putUpstream(record, now);
-      logUpstream(record);
+    } else if (const auto r = decode(it.Object); r.ok()) {
+      Known.putUpstream(*r, now);
+      logUpstream(*r);
     } else {
       // Its last readable record no longer holds.
       Known.removeUpstream(name, now);
@@ -209,10 +209,7 @@
     if (absl::IsNotFound(c.status()))
       continue;
     if (!c.ok()) {
-      Log.write(events::RecordRefused,
-                {{"key", it.Object.Key},
-                 {"version", std::to_string(it.Object.Version)},
-                 {"why", std::string(c.status().message())}});
+      logRefused(it.Object, c.status());
       continue;
     }
     const auto version = c->Version;
@@ -264,10 +261,7 @@
     else if (member.ok())
       Members[name] = *std::move(member);
     else
-      Log.write(events::RecordRefused,
-                {{"key", it.Object.Key},
-                 {"version", std::to_string(it.Object.Version)},
-                 {"why", std::string(member.status().message())}});
+      logRefused(it.Object, member.status());
   }
   std::vector<std::string> names;
   std::vector<MemberRecord> records;
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -44,7 +44,7 @@
 
 class EdgeViews {
 public:
-  /// \p store reads through \p relay. All references outlive the object.
+  /// Reads through \p relay. All references outlive the object.
   EdgeViews(const Clock &time, RandomSource &random, EventLog &log,
             RelayedPlatform &relay, const RecordFormat &format, Directory &dir,
             ColdShare &cold, EdgeViewsOptions opt);
@@ -92,7 +92,9 @@
   auto onMemberList(const ObjectList &l) -> void;
   auto onMemberEvents(const ObjectList &l) -> void;
   auto logUpstream(const UpstreamRecord &r) -> void;
-  auto decode(const StoredObject &o, UpstreamRecord &out) -> bool;
+  auto logRefused(const StoredObject &o, const absl::Status &why) -> void;
+  /// Logs a record that cannot be read.
+  auto decode(const StoredObject &o) -> absl::StatusOr<UpstreamRecord>;
   auto askSeeds(TimePoint now) -> void;
   /// Takes the views that the mirror at \p address has for those that the
   /// store has not given yet.
--- a/src/edge/relay_tree.cpp
+++ b/src/edge/relay_tree.cpp
@@ -1,8 +1,9 @@
 #include "edge/relay_tree.h"
 
-#include <boost/json.hpp>
+#include "net/json_text.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <tuple>
 
 namespace boragebridge {
@@ -17,18 +18,15 @@
 
 auto parseMember(const std::string &name, const std::string &text)
     -> absl::StatusOr<MemberRecord> {
-  MemberRecord m;
-  m.Name = name;
-  try {
-    const auto v = json::parse(text);
+  return readJson(text, [&](const json::value &v) {
+    MemberRecord m;
+    m.Name = name;
     if (!parseEndpoint(json::value_to<std::string>(v.at("address")), m.Address))
-      return absl::InvalidArgumentError(name + ": no address");
+      throw std::invalid_argument("no address");
     m.DataCentre = DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
     m.Strength = v.at("strength").to_number<unsigned>();
     return m;
-  } catch (const std::exception &e) {
-    return absl::InvalidArgumentError(name + ": " + e.what());
-  }
+  });
 }
 
 auto RelayTree::setMembers(const std::vector<MemberRecord> &all) -> void {
--- a/src/logging/event_format.cpp
+++ b/src/logging/event_format.cpp
@@ -3,6 +3,9 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <ctime>
 
 namespace boragebridge {
 
@@ -20,6 +23,22 @@
   return "unknown";
 }
 
+auto formatTimeStamp() -> std::string {
+  using std::chrono::milliseconds;
+  const auto now = std::chrono::system_clock::now();
+  const auto t = std::chrono::system_clock::to_time_t(now);
+  const auto ms =
+      std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) %
+      std::chrono::seconds(1);
+  std::tm parts{};
+  gmtime_r(&t, &parts);
+  std::array<char, 32> buf{};
+  std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+  auto fraction = std::to_string(ms.count());
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::string(buf.data()) + "." + fraction + "Z";
+}
+
 static auto needsQuotes(std::string_view s) -> bool {
   return s.empty() || std::any_of(s.begin(), s.end(), [](char c) {
            const auto u = static_cast<unsigned char>(c);
--- a/src/logging/event_format.h
+++ b/src/logging/event_format.h
@@ -14,6 +14,9 @@
 /// "debug", "info", "warning" or "error".
 auto toString(Severity s) -> std::string_view;
 
+/// The present time in UTC as "2026-01-31T12:34:56.789Z".
+auto formatTimeStamp() -> std::string;
+
 /// One line without its end. \p time is the text of the time stamp and
 /// \p process the name of the process. A value with spaces, quotes, '=' or
 /// control characters is quoted and escaped, so that a line stays one line.
--- a/src/logging/process_log.cpp
+++ b/src/logging/process_log.cpp
@@ -4,8 +4,6 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
-#include <ctime>
-
 namespace boragebridge {
 
 struct ProcessLog::Impl {
@@ -28,23 +26,6 @@
   return log4cxx::Level::getInfo();
 }
 
-/// The present time in UTC as "2026-01-31T12:34:56.789Z".
-static auto timeStamp() -> std::string {
-  using std::chrono::milliseconds;
-  const auto now = std::chrono::system_clock::now();
-  const auto t = std::chrono::system_clock::to_time_t(now);
-  const auto ms =
-      std::chrono::duration_cast<milliseconds>(now.time_since_epoch()) %
-      std::chrono::seconds(1);
-  std::tm parts{};
-  gmtime_r(&t, &parts);
-  std::array<char, 32> buf{};
-  std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-  auto fraction = std::to_string(ms.count());
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::string(buf.data()) + "." + fraction + "Z";
-}
-
 auto LogSettings::read(SettingsReader it) -> LogSettings {
   LogSettings s;
   if (it.choice("format", {"keyvalue", "json"}, "keyvalue") == "json")
@@ -78,8 +59,9 @@
   const auto level = toLevel(e.Level);
   if (!State->Logger->isEnabledFor(level))
     return;
-  const auto line = formatEvent(State->Format, timeStamp(), State->Process, e,
-                                {fields.begin(), fields.size()});
+  const auto line =
+      formatEvent(State->Format, formatTimeStamp(), State->Process, e,
+                  {fields.begin(), fields.size()});
   State->Logger->forcedLog(level, line);
 }
 
--- a/src/logging/stream_log.cpp
+++ b/src/logging/stream_log.cpp
@@ -6,26 +6,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include <array>
-#include <ctime>
-
 namespace boragebridge {
 
-/// The time of day in UTC with milliseconds, as in ISO 8601.
-static auto formatTimeOfDay() -> std::string {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  const auto ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-  const auto seconds = static_cast<std::time_t>(ms / 1000);
-  std::tm parts{};
-  ::gmtime_r(&seconds, &parts);
-  std::array<char, 40> text{};
-  const auto n =
-      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-  const auto fraction = std::to_string(1000 + ms % 1000);
-  return std::string(text.data(), n) + '.' + fraction.substr(1) + 'Z';
-}
-
 StreamLog::StreamLog(std::string process, const Clock &time,
                      StreamLogOptions opt)
     : Process(std::move(process)), Time(time), Options(opt) {
@@ -47,9 +29,11 @@
 }
 
 auto StreamLog::wouldTake(const LogEvent &e) -> bool {
-  if (e.Level < Options.Level)
-    return false;
-  if (kind(e).Lines < Options.LinesPerSecond)
+  return e.Level >= Options.Level && hasRoom(kind(e));
+}
+
+auto StreamLog::hasRoom(const Kind &k) -> bool {
+  if (k.Lines < Options.LinesPerSecond)
     return true;
   ++LeftOut;
   return false;
@@ -57,15 +41,18 @@
 
 auto StreamLog::write(const LogEvent &e, std::initializer_list<LogField> fields)
     -> void {
-  if (!wouldTake(e))
+  if (e.Level < Options.Level)
+    return;
+  auto &k = kind(e);
+  if (!hasRoom(k))
     return;
-  ++kind(e).Lines;
+  ++k.Lines;
   append(e, fields);
 }
 
 auto StreamLog::append(const LogEvent &e,
                        std::initializer_list<LogField> fields) -> void {
-  const auto line = formatEvent(LogFormat::KeyValue, formatTimeOfDay(), Process,
+  const auto line = formatEvent(LogFormat::KeyValue, formatTimeStamp(), Process,
                                 e, {fields.begin(), fields.size()});
   if (Pending.size() + line.size() + 1 > Options.BufferBytes) {
     ++LeftOut;
@@ -77,9 +64,8 @@
 
 auto StreamLog::flush() -> void {
   if (LeftOut != Reported && wouldTake(events::LinesLeftOut)) {
-    ++kind(events::LinesLeftOut).Lines;
-    append(events::LinesLeftOut,
-           {{"count", std::to_string(LeftOut - Reported)}});
+    write(events::LinesLeftOut,
+          {{"count", std::to_string(LeftOut - Reported)}});
     Reported = LeftOut;
   }
   if (Pending.empty())
--- a/src/logging/stream_log.h
+++ b/src/logging/stream_log.h
@@ -49,6 +49,8 @@
   };
 
   auto kind(const LogEvent &e) -> Kind &;
+  /// Whether a line of \p k is within its limit; counts it when not.
+  auto hasRoom(const Kind &k) -> bool;
   auto append(const LogEvent &e, std::initializer_list<LogField> fields)
       -> void;
 
--- a/src/net/datagram_socket.cpp
+++ b/src/net/datagram_socket.cpp
@@ -1,6 +1,7 @@
 #include "net/datagram_socket.h"
 
 #include "net/asio_endpoint.h"
+#include "net/udp_bind.h"
 
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -46,25 +47,11 @@
 auto DatagramSocket::open(asio::io_context &io, const Endpoint &at)
     -> absl::StatusOr<std::unique_ptr<DatagramSocket>> {
   auto it = std::make_unique<DatagramSocket>(io);
-  if (auto ec = it->bind(at))
-    return absl::UnavailableError("cannot bind UDP " + toString(at) + ": " +
-                                  ec.message());
-  return it;
-}
-
-auto DatagramSocket::bind(const Endpoint &at) -> boost::system::error_code {
   constexpr int KernelBufferBytes = 1 << 20;
-  boost::system::error_code ec;
-  if (Socket.open(udp::v4(), ec); ec)
-    return ec;
-  // The kernel caps this at its own limit; a smaller buffer is no error.
-  boost::system::error_code ignored;
-  Socket.set_option(udp::socket::receive_buffer_size(KernelBufferBytes),
-                    ignored);
-  if (Socket.non_blocking(true, ec); ec)
-    return ec;
-  Socket.bind(toAsio<udp>(at), ec);
-  return ec;
+  if (auto s = bindUdp(it->Socket, at, {.ReceiveBytes = KernelBufferBytes});
+      !s.ok())
+    return s;
+  return it;
 }
 
 auto DatagramSocket::start(Handler h) -> void {
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -73,7 +73,6 @@
 private:
   struct Buffers;
 
-  auto bind(const Endpoint &at) -> boost::system::error_code;
   auto wait() -> void;
   /// Whether there may be more.
   auto receiveBatch() -> bool;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -19,6 +19,8 @@
   Ok = 200,
   BadRequest = 400,
   NotFound = 404,
+  Gone = 410,
+  PreconditionFailed = 412,
   ServiceUnavailable = 503,
 };
 
--- a/platform/json_text.h
+++ b/src/net/json_text.h
@@ -1,7 +1,8 @@
 /// \file
-/// Reads JSON text whose writers are not all to be trusted.
-#ifndef BORAGEBRIDGE_USERS_JSON_TEXT_H
-#define BORAGEBRIDGE_USERS_JSON_TEXT_H
+/// Reads JSON text whose writers are not all to be trusted. Boost.JSON is slow
+/// to compile: for .cpp files only.
+#ifndef BORAGEBRIDGE_NET_JSON_TEXT_H
+#define BORAGEBRIDGE_NET_JSON_TEXT_H
 
 #include "absl/status/statusor.h"
 
@@ -9,15 +10,21 @@
 
 #include <string>
 
-namespace boragebridge::users {
+namespace boragebridge {
+
+/// For text that may hold bytes which are no UTF-8 in its strings.
+inline auto withAnyBytes() -> boost::json::parse_options {
+  boost::json::parse_options opt;
+  opt.allow_invalid_utf8 = true;
+  return opt;
+}
 
 /// What \p read makes of the JSON \p text; InvalidArgument when it is no JSON
-/// or when \p read throws. Strings may hold bytes that are no UTF-8.
+/// or when \p read throws.
 template <typename Read>
-auto readJson(const std::string &text, Read read)
+auto readJson(const std::string &text, Read read,
+              const boost::json::parse_options &opt = {})
     -> absl::StatusOr<decltype(read(boost::json::value()))> {
-  boost::json::parse_options opt;
-  opt.allow_invalid_utf8 = true;
   boost::system::error_code ec;
   const auto v = boost::json::parse(text, ec, {}, opt);
   if (ec)
@@ -30,6 +37,6 @@
   }
 }
 
-} // namespace boragebridge::users
+} // namespace boragebridge
 
 #endif
--- a/src/net/object_json.cpp
+++ b/src/net/object_json.cpp
@@ -1,5 +1,7 @@
 #include "net/object_json.h"
 
+#include "net/json_text.h"
+
 #include <boost/json.hpp>
 #include <boost/url/decode_view.hpp>
 #include <boost/url/encode.hpp>
@@ -31,29 +33,13 @@
   return e;
 }
 
-/// Runs \p read on the parsed \p body; its exceptions become one error.
-template <typename Read>
-static auto parseBody(const std::string &body, Read read)
-    -> absl::StatusOr<decltype(read(json::value()))> {
-  boost::system::error_code ec;
-  auto v = json::parse(body, ec);
-  if (ec)
-    return absl::InvalidArgumentError("not JSON: " + ec.message());
-  try {
-    return read(v);
-  } catch (const std::exception &e) {
-    return absl::InvalidArgumentError(std::string("unexpected JSON: ") +
-                                      e.what());
-  }
-}
-
 auto formatObject(const StoredObject &o) -> std::string {
   return json::serialize(objectToJson({o, false}));
 }
 
 auto parseObject(const std::string &body) -> absl::StatusOr<StoredObject> {
-  return parseBody(
-      body, [](const json::value &v) { return eventFromJson(v).Object; });
+  return readJson(body,
+                  [](const json::value &v) { return eventFromJson(v).Object; });
 }
 
 auto formatObjectList(const ObjectList &l) -> std::string {
@@ -65,7 +51,7 @@
 }
 
 auto parseObjectList(const std::string &body) -> absl::StatusOr<ObjectList> {
-  return parseBody(body, [](const json::value &v) {
+  return readJson(body, [](const json::value &v) {
     ObjectList out;
     out.CurrentVersion = v.at("current_version").to_number<ObjectVersion>();
     for (const auto &it : v.at("objects").as_array())
@@ -79,7 +65,7 @@
 }
 
 auto parseVersion(const std::string &body) -> absl::StatusOr<ObjectVersion> {
-  return parseBody(body, [](const json::value &v) {
+  return readJson(body, [](const json::value &v) {
     return v.at("version").to_number<ObjectVersion>();
   });
 }
@@ -89,7 +75,7 @@
 }
 
 auto parseValue(const std::string &body) -> absl::StatusOr<std::string> {
-  return parseBody(body, [](const json::value &v) {
+  return readJson(body, [](const json::value &v) {
     return json::value_to<std::string>(v.at("value"));
   });
 }
--- a/src/net/packet_socket.cpp
+++ b/src/net/packet_socket.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/datagram_codec.h"
 #include "net/asio_endpoint.h"
+#include "net/udp_bind.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -13,27 +14,12 @@
 auto PacketSocket::open(asio::io_context &io, const Endpoint &at)
     -> absl::StatusOr<std::unique_ptr<PacketSocket>> {
   auto it = std::make_unique<PacketSocket>(io);
-  if (auto ec = it->bind(at))
-    return absl::UnavailableError("cannot bind UDP " + toString(at) + ": " +
-                                  ec.message());
+  if (auto s = bindUdp(it->Socket, at, {KernelBufferBytes, KernelBufferBytes});
+      !s.ok())
+    return s;
   return it;
 }
 
-auto PacketSocket::bind(const Endpoint &at) -> boost::system::error_code {
-  boost::system::error_code ec;
-  if (Socket.open(udp::v4(), ec); ec)
-    return ec;
-  // The kernel caps these at its own limit; a smaller buffer is no error.
-  boost::system::error_code ignored;
-  Socket.set_option(udp::socket::receive_buffer_size(KernelBufferBytes),
-                    ignored);
-  Socket.set_option(udp::socket::send_buffer_size(KernelBufferBytes), ignored);
-  if (Socket.non_blocking(true, ec); ec)
-    return ec;
-  Socket.bind(toAsio<udp>(at), ec);
-  return ec;
-}
-
 auto PacketSocket::start(Handler h) -> void {
   Receive = std::move(h);
   Buffer.resize(MaxDatagramBytes);
--- a/src/net/packet_socket.h
+++ b/src/net/packet_socket.h
@@ -54,7 +54,6 @@
   auto counts() const -> const PacketSocketCounts & { return Counts; }
 
 private:
-  auto bind(const Endpoint &at) -> boost::system::error_code;
   auto wait() -> void;
   auto receiveBatch() -> void;
   auto receiveOne() -> bool;
--- a/src/store/mirror_api.cpp
+++ b/src/store/mirror_api.cpp
@@ -10,19 +10,21 @@
 /// The longest that a reader may keep a watch open.
 static constexpr auto LongestWait = std::chrono::seconds(30);
 
+static auto toStatus(const absl::Status &s) -> HttpStatus {
+  if (s.ok())
+    return HttpStatus::Ok;
+  if (absl::IsOutOfRange(s))
+    return HttpStatus::Gone;
+  if (absl::IsFailedPrecondition(s))
+    return HttpStatus::PreconditionFailed;
+  return HttpStatus::ServiceUnavailable;
+}
+
 static auto toResponse(const absl::StatusOr<ObjectList> &r) -> HttpResponse {
-  constexpr unsigned Ok = 200;
-  constexpr unsigned Gone = 410;
-  constexpr unsigned PreconditionFailed = 412;
-  constexpr unsigned ServiceUnavailable = 503;
-  if (r.ok())
-    return {Ok, "application/json", formatObjectList(*r), {}};
-  auto status = ServiceUnavailable;
-  if (absl::IsOutOfRange(r.status()))
-    status = Gone;
-  if (absl::IsFailedPrecondition(r.status()))
-    status = PreconditionFailed;
-  return {status, "application/json", "{}", {}};
+  return {static_cast<unsigned>(toStatus(r.status())),
+          "application/json",
+          r.ok() ? formatObjectList(*r) : "{}",
+          {}};
 }
 
 auto makeMirrorApi(ObjectMirror &mirror, const Clock &time) -> HttpHandler {
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -15,7 +15,6 @@
   if (Waiting || now < NextCall)
     return;
   Waiting = true;
-  ++Calls;
   if (MustList)
     startList();
   else
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -80,7 +80,6 @@
   /// When the store last confirmed the view.
   auto confirmedAt() const -> TimePoint { return ConfirmedAt; }
   auto version() const -> ObjectVersion { return Version; }
-  auto calls() const -> std::uint64_t { return Calls; }
 
 private:
   auto startList() -> void;
@@ -97,7 +96,6 @@
   bool MustList = true;
   bool Waiting = false;
   unsigned Failures = 0;
-  std::uint64_t Calls = 0;
   TimePoint NextCall;
   TimePoint ConfirmedAt;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
