Name the edge's upstream type apart from the configuration's; place flows by a strategy

Cause: include/boragebridge/configuration.h and src/edge/directory.h both defined boragebridge::Upstream. Two types of one name in one library break the one-definition rule wherever a template is made for both; it showed when the edge's parts were first included beside the fakes (the redefinition did not compile). The edge's is one lifetime of an upstream and is called so now.

Forwarder asks a Placement; Picker is the one in use. Experiments give it others. No change of behaviour: the edge's tests are as before.

--- a/src/edge/cold_share.cpp
+++ b/src/edge/cold_share.cpp
@@ -20,7 +20,8 @@
   }
 }
 
-auto ColdShare::isAmongFirst(const Upstream &u, std::size_t n) const -> bool {
+auto ColdShare::isAmongFirst(const UpstreamLifetime &u, std::size_t n) const
+    -> bool {
   const auto tag = std::uint64_t{static_cast<std::uint32_t>(u.Tag)};
   const auto mine = hashPair(tag, Self);
   const auto before = std::count_if(Others.begin(), Others.end(), [&](auto it) {
@@ -29,7 +30,7 @@
   return static_cast<std::size_t>(before) < n;
 }
 
-auto ColdShare::mayOpen(const Upstream &u, double perSecond,
+auto ColdShare::mayOpen(const UpstreamLifetime &u, double perSecond,
                         TimePoint now) const -> bool {
   const auto limit = perSecond * Options.Factor + Options.Slack;
   if (!IsMember || now < NotBefore || limit <= 0)
@@ -44,7 +45,7 @@
   return isAmongFirst(u, static_cast<std::size_t>(openers));
 }
 
-auto ColdShare::onOpened(const Upstream &u, TimePoint now) -> void {
+auto ColdShare::onOpened(const UpstreamLifetime &u, TimePoint now) -> void {
   std::erase_if(LastOpened, [&](const auto &it) {
     return now - it.second > std::chrono::minutes(1);
   });
--- a/src/edge/cold_share.h
+++ b/src/edge/cold_share.h
@@ -39,13 +39,13 @@
   auto waitUntil(TimePoint t) -> void { NotBefore = t; }
   /// Whether this instance may open a flow to cold \p u, of a service whose
   /// cold upstreams bear \p perSecond.
-  auto mayOpen(const Upstream &u, double perSecond, TimePoint now) const
+  auto mayOpen(const UpstreamLifetime &u, double perSecond, TimePoint now) const
       -> bool;
   /// A flow was opened to cold \p u.
-  auto onOpened(const Upstream &u, TimePoint now) -> void;
+  auto onOpened(const UpstreamLifetime &u, TimePoint now) -> void;
 
 private:
-  auto isAmongFirst(const Upstream &u, std::size_t n) const -> bool;
+  auto isAmongFirst(const UpstreamLifetime &u, std::size_t n) const -> bool;
 
   ColdShareOptions Options;
   std::uint64_t Self;
--- a/src/edge/directory.cpp
+++ b/src/edge/directory.cpp
@@ -49,8 +49,8 @@
     update(*known, r, now);
 }
 
-auto Directory::findLifetime(const UpstreamRecord &r) -> Upstream * {
-  auto matches = [&](const Upstream &u) {
+auto Directory::findLifetime(const UpstreamRecord &r) -> UpstreamLifetime * {
+  auto matches = [&](const UpstreamLifetime &u) {
     return u.Record.Name == r.Name && u.Record.StartedAt == r.StartedAt;
   };
   const auto it =
@@ -75,7 +75,7 @@
   }
   auto &slot = Slots[Free.back()];
   slot.Used = true;
-  slot.Value = Upstream{};
+  slot.Value = UpstreamLifetime{};
   slot.Value.Index = Free.back();
   Free.pop_back();
   return &slot;
@@ -97,8 +97,8 @@
   claimAddress(r.Address, u.Index);
 }
 
-auto Directory::update(Upstream &u, const UpstreamRecord &r, TimePoint now)
-    -> void {
+auto Directory::update(UpstreamLifetime &u, const UpstreamRecord &r,
+                       TimePoint now) -> void {
   if (r.ColdFor != u.Record.ColdFor)
     u.ColdUntil = now + r.ColdFor;
   if (r.Service != u.Record.Service)
@@ -130,7 +130,7 @@
 
 /// Of two upstreams with one tag the one that started first keeps it: flows to
 /// it may be open already, and every instance comes to the same answer.
-auto Directory::claimTag(const Upstream &u) -> void {
+auto Directory::claimTag(const UpstreamLifetime &u) -> void {
   const auto [it, added] =
       ByTag.emplace(static_cast<std::uint32_t>(u.Tag), u.Index);
   if (added)
@@ -212,14 +212,14 @@
   return it == Routes.end() ? nullptr : &Config.Routes[it->second];
 }
 
-auto Directory::find(UpstreamTag tag) const -> const Upstream * {
+auto Directory::find(UpstreamTag tag) const -> const UpstreamLifetime * {
   const auto it = ByTag.find(static_cast<std::uint32_t>(tag));
   return it == ByTag.end() ? nullptr : &Slots[it->second].Value;
 }
 
 auto Directory::upstreamsOf(ServiceId service) const
-    -> const std::vector<const Upstream *> & {
-  static const std::vector<const Upstream *> none;
+    -> const std::vector<const UpstreamLifetime *> & {
+  static const std::vector<const UpstreamLifetime *> none;
   const auto it = ByService.find(raw(service));
   return it == ByService.end() ? none : it->second;
 }
@@ -229,19 +229,21 @@
   return it == ColdRates.end() ? 0 : it->second;
 }
 
-auto Directory::isGone(const Upstream &u, TimePoint now) const -> bool {
+auto Directory::isGone(const UpstreamLifetime &u, TimePoint now) const -> bool {
   if (u.Ended)
     return true;
   return u.MissingSince &&
          now - std::max(*u.MissingSince, StoreFailedAt) > Options.MissingLimit;
 }
 
-auto Directory::mayOpenAtWorst(const Upstream &u, TimePoint now) const -> bool {
+auto Directory::mayOpenAtWorst(const UpstreamLifetime &u, TimePoint now) const
+    -> bool {
   return !u.Record.Draining && !isWithdrawn(u.Record.DataCentre) &&
          !isGone(u, now);
 }
 
-auto Directory::mayOpen(const Upstream &u, TimePoint now) const -> bool {
+auto Directory::mayOpen(const UpstreamLifetime &u, TimePoint now) const
+    -> bool {
   // A record that goes missing around a failure of the store has most likely
   // lapsed while its upstream lives.
   const auto isTrusted =
--- a/src/edge/directory.h
+++ b/src/edge/directory.h
@@ -32,7 +32,7 @@
 using UpstreamIndex = std::uint32_t;
 
 /// One lifetime of an upstream and what this instance knows of it.
-struct Upstream {
+struct UpstreamLifetime {
   UpstreamRecord Record;
   UpstreamIndex Index = 0;
   UpstreamTag Tag = UpstreamTag::None;
@@ -92,20 +92,20 @@
   /// The route at \p address, or null.
   auto route(const Endpoint &address) const -> const RouteRecord *;
   /// The upstream that \p tag names, gone ones included, or null.
-  auto find(UpstreamTag tag) const -> const Upstream *;
+  auto find(UpstreamTag tag) const -> const UpstreamLifetime *;
   /// The upstreams of \p service that are registered or not yet gone.
   auto upstreamsOf(ServiceId service) const
-      -> const std::vector<const Upstream *> &;
+      -> const std::vector<const UpstreamLifetime *> &;
   auto coldPerSecond(ServiceId service) const -> double;
 
   /// Whether no flow to \p u can be alive.
-  auto isGone(const Upstream &u, TimePoint now) const -> bool;
+  auto isGone(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether new flows may go to \p u.
-  auto mayOpen(const Upstream &u, TimePoint now) const -> bool;
+  auto mayOpen(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether new flows may go to \p u when its service has nothing better: its
   /// record is missing, but not for long.
-  auto mayOpenAtWorst(const Upstream &u, TimePoint now) const -> bool;
-  auto isCold(const Upstream &u, TimePoint now) const -> bool {
+  auto mayOpenAtWorst(const UpstreamLifetime &u, TimePoint now) const -> bool;
+  auto isCold(const UpstreamLifetime &u, TimePoint now) const -> bool {
     return now < u.ColdUntil;
   }
   auto isWithdrawn(DataCentreId d) const -> bool {
@@ -116,22 +116,23 @@
 
 private:
   struct Slot {
-    Upstream Value;
+    UpstreamLifetime Value;
     bool Used = false;
   };
 
   auto apply(const UpstreamRecord &r, TimePoint now) -> void;
   auto add(const UpstreamRecord &r, TimePoint now) -> void;
   /// The lifetime that \p r is a record of, ended ones included, or null.
-  auto findLifetime(const UpstreamRecord &r) -> Upstream *;
+  auto findLifetime(const UpstreamRecord &r) -> UpstreamLifetime *;
   auto allocate() -> Slot *;
-  auto update(Upstream &u, const UpstreamRecord &r, TimePoint now) -> void;
+  auto update(UpstreamLifetime &u, const UpstreamRecord &r, TimePoint now)
+      -> void;
   /// Ends the lifetime that had \p address before \p owner.
   auto claimAddress(const Endpoint &address, UpstreamIndex owner) -> void;
   auto endLifetime(UpstreamIndex i) -> void;
   /// Makes ByService again when a lifetime came, ended or changed its service.
   auto rebuild() -> void;
-  auto claimTag(const Upstream &u) -> void;
+  auto claimTag(const UpstreamLifetime &u) -> void;
 
   DirectoryOptions Options;
   /// A deque, so that upstreams do not move.
@@ -140,7 +141,8 @@
   std::unordered_map<std::string, UpstreamIndex> ByName;
   std::unordered_map<Endpoint, UpstreamIndex> ByAddress;
   std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
-  std::unordered_map<std::uint64_t, std::vector<const Upstream *>> ByService;
+  std::unordered_map<std::uint64_t, std::vector<const UpstreamLifetime *>>
+      ByService;
   bool ByServiceIsOld = false;
   std::unordered_map<Endpoint, std::size_t> Routes;
   std::unordered_map<std::uint64_t, double> ColdRates;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -4,6 +4,7 @@
 #include "edge/edge_events.h"
 #include "edge/edge_views.h"
 #include "edge/forwarder.h"
+#include "edge/picker.h"
 #include "logging/process_events.h"
 #include "logging/stream_log.h"
 #include "net/datagram_socket.h"
--- a/src/edge/estimates.cpp
+++ b/src/edge/estimates.cpp
@@ -7,7 +7,7 @@
 
 using Seconds = std::chrono::duration<double>;
 
-auto Estimates::entry(const Upstream &u) -> Entry & {
+auto Estimates::entry(const UpstreamLifetime &u) -> Entry & {
   if (u.Index >= Entries.size())
     Entries.resize(u.Index + 1);
   auto &e = Entries[u.Index];
@@ -19,20 +19,20 @@
   return e;
 }
 
-auto Estimates::find(const Upstream &u) const -> const Entry * {
+auto Estimates::find(const UpstreamLifetime &u) const -> const Entry * {
   if (u.Index >= Entries.size() || Entries[u.Index].Tag != u.Tag)
     return nullptr;
   return &Entries[u.Index];
 }
 
-auto Estimates::onWork(const Upstream &u, TimePoint now) -> void {
+auto Estimates::onWork(const UpstreamLifetime &u, TimePoint now) -> void {
   const auto faded = load(u, now);
   auto &e = entry(u);
   e.Load = faded + 1;
   e.LoadAt = now;
 }
 
-auto Estimates::load(const Upstream &u, TimePoint now) const -> double {
+auto Estimates::load(const UpstreamLifetime &u, TimePoint now) const -> double {
   const auto *e = find(u);
   if (e == nullptr || e->Load == 0)
     return 0;
@@ -40,14 +40,14 @@
          std::exp(-Seconds(now - e->LoadAt) / Seconds(Options.LoadMemory));
 }
 
-auto Estimates::onAnswered(const Upstream &u, Duration took, TimePoint now)
-    -> void {
+auto Estimates::onAnswered(const UpstreamLifetime &u, Duration took,
+                           TimePoint now) -> void {
   if (took <= Options.PromptAnswer)
     Prompt = {Prompt.back(), now};
   onProgress(u, now);
 }
 
-auto Estimates::onProgress(const Upstream &u, TimePoint now) -> void {
+auto Estimates::onProgress(const UpstreamLifetime &u, TimePoint now) -> void {
   auto &e = entry(u);
   e.ProgressAt = now;
   e.Waiting = 0;
@@ -58,7 +58,7 @@
   DataCentres.erase(raw(u.Record.DataCentre));
 }
 
-auto Estimates::onResponse(const Upstream &u, Duration took) -> void {
+auto Estimates::onResponse(const UpstreamLifetime &u, Duration took) -> void {
   auto &e = entry(u);
   const auto seconds =
       Seconds(std::min(took, Options.LongestResponseTime)).count();
@@ -72,7 +72,8 @@
   return std::min(d, Options.MaxAvoidance);
 }
 
-auto Estimates::strike(const Upstream &u, Entry &e, TimePoint now) -> void {
+auto Estimates::strike(const UpstreamLifetime &u, Entry &e, TimePoint now)
+    -> void {
   if (now - e.LastStrike > Options.StrikeMemory)
     e.Strikes = 0;
   ++e.Strikes;
@@ -88,12 +89,12 @@
     d.AvoidUntil = std::max(d.AvoidUntil, e.AvoidUntil);
 }
 
-auto Estimates::onUnanswered(const Upstream &u, TimePoint now) -> void {
+auto Estimates::onUnanswered(const UpstreamLifetime &u, TimePoint now) -> void {
   strike(u, entry(u), now);
 }
 
-auto Estimates::onRepeat(const Upstream &u, TimePoint first, TimePoint before,
-                         TimePoint now) -> void {
+auto Estimates::onRepeat(const UpstreamLifetime &u, TimePoint first,
+                         TimePoint before, TimePoint now) -> void {
   auto &e = entry(u);
   // One strike for each flow as long as nothing makes progress.
   if (before <= e.ProgressAt)
@@ -111,7 +112,7 @@
     e.FirstWaiting = now;
 }
 
-auto Estimates::onTrial(const Upstream &u, TimePoint now) -> void {
+auto Estimates::onTrial(const UpstreamLifetime &u, TimePoint now) -> void {
   auto &e = entry(u);
   const auto until = now + avoidance(std::max(e.Strikes, 1U));
   e.AvoidUntil = until;
@@ -135,29 +136,30 @@
   DataCentres.clear();
 }
 
-auto Estimates::isAvoided(const Upstream &u, TimePoint now) const -> bool {
+auto Estimates::isAvoided(const UpstreamLifetime &u, TimePoint now) const
+    -> bool {
   if (const auto *e = find(u); e != nullptr && now < e->AvoidUntil)
     return true;
   const auto it = DataCentres.find(raw(u.Record.DataCentre));
   return it != DataCentres.end() && now < it->second.AvoidUntil;
 }
 
-auto Estimates::hasStrikes(const Upstream &u) const -> bool {
+auto Estimates::hasStrikes(const UpstreamLifetime &u) const -> bool {
   return strikes(u) > 0;
 }
 
-auto Estimates::strikes(const Upstream &u) const -> unsigned {
+auto Estimates::strikes(const UpstreamLifetime &u) const -> unsigned {
   const auto *e = find(u);
   return e == nullptr ? 0 : e->Strikes;
 }
 
-auto Estimates::isDark(const Upstream &u, TimePoint now) const -> bool {
+auto Estimates::isDark(const UpstreamLifetime &u, TimePoint now) const -> bool {
   const auto *e = find(u);
   return e != nullptr && e->Waiting >= Options.DarkFlows &&
          now - e->FirstWaiting <= Options.MaxAvoidance;
 }
 
-auto Estimates::expectedTime(const Upstream &u, TimePoint now) const
+auto Estimates::expectedTime(const UpstreamLifetime &u, TimePoint now) const
     -> Duration {
   const auto *e = find(u);
   const auto response = e == nullptr ? Seconds(Options.FirstResponseTime)
--- a/src/edge/estimates.h
+++ b/src/edge/estimates.h
@@ -64,21 +64,22 @@
   }
 
   /// A request or a flow was sent to \p u.
-  auto onWork(const Upstream &u, TimePoint now) -> void;
+  auto onWork(const UpstreamLifetime &u, TimePoint now) -> void;
   /// \p u answered an opening packet after \p took.
-  auto onAnswered(const Upstream &u, Duration took, TimePoint now) -> void;
+  auto onAnswered(const UpstreamLifetime &u, Duration took, TimePoint now)
+      -> void;
   /// A flow of \p u made progress.
-  auto onProgress(const Upstream &u, TimePoint now) -> void;
+  auto onProgress(const UpstreamLifetime &u, TimePoint now) -> void;
   /// A request to \p u took \p took.
-  auto onResponse(const Upstream &u, Duration took) -> void;
+  auto onResponse(const UpstreamLifetime &u, Duration took) -> void;
   /// An opening packet to \p u stayed unanswered.
-  auto onUnanswered(const Upstream &u, TimePoint now) -> void;
+  auto onUnanswered(const UpstreamLifetime &u, TimePoint now) -> void;
   /// A flow of \p u sent data again that it first sent at \p first. \p before
   /// is when the flow last did so, with this data or other.
-  auto onRepeat(const Upstream &u, TimePoint first, TimePoint before,
+  auto onRepeat(const UpstreamLifetime &u, TimePoint first, TimePoint before,
                 TimePoint now) -> void;
   /// \p u is tried although it is avoided; no other flow tries it for a while.
-  auto onTrial(const Upstream &u, TimePoint now) -> void;
+  auto onTrial(const UpstreamLifetime &u, TimePoint now) -> void;
   /// This process did not run for a while: what it missed is no evidence.
   auto forgetStrikes() -> void;
 
@@ -87,16 +88,16 @@
   auto takeSuspects() -> std::vector<UpstreamTag>;
 
   /// Whether new flows should go elsewhere.
-  auto isAvoided(const Upstream &u, TimePoint now) const -> bool;
+  auto isAvoided(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether there are strikes against \p u itself.
-  auto hasStrikes(const Upstream &u) const -> bool;
+  auto hasStrikes(const UpstreamLifetime &u) const -> bool;
   /// Whether there is strong evidence that \p u answers nobody.
-  auto isDark(const Upstream &u, TimePoint now) const -> bool;
+  auto isDark(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Expected time to answer one more request.
-  auto expectedTime(const Upstream &u, TimePoint now) const -> Duration;
+  auto expectedTime(const UpstreamLifetime &u, TimePoint now) const -> Duration;
   /// Requests that this instance sent to \p u lately, faded.
-  auto load(const Upstream &u, TimePoint now) const -> double;
-  auto strikes(const Upstream &u) const -> unsigned;
+  auto load(const UpstreamLifetime &u, TimePoint now) const -> double;
+  auto strikes(const UpstreamLifetime &u) const -> unsigned;
 
 private:
   struct Entry {
@@ -117,9 +118,9 @@
     TimePoint AvoidUntil;
   };
 
-  auto entry(const Upstream &u) -> Entry &;
-  auto find(const Upstream &u) const -> const Entry *;
-  auto strike(const Upstream &u, Entry &e, TimePoint now) -> void;
+  auto entry(const UpstreamLifetime &u) -> Entry &;
+  auto find(const UpstreamLifetime &u) const -> const Entry *;
+  auto strike(const UpstreamLifetime &u, Entry &e, TimePoint now) -> void;
   auto noteWaiting(Entry &e, TimePoint now) -> void;
   auto avoidance(unsigned strikes) const -> Duration;
 
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -16,9 +16,9 @@
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
-Forwarder::Forwarder(const Directory &dir, Estimates &est, Picker &picker,
+Forwarder::Forwarder(const Directory &dir, Estimates &est, Placement &placement,
                      ForwarderOptions opt)
-    : Known(dir), Loads(est), Chooser(picker), Options(opt),
+    : Known(dir), Loads(est), Chooser(placement), Options(opt),
       Flows(opt.CachedFlows), Openings(MaxOpenings) {}
 
 auto Forwarder::decide(const FlowPacket &p, TimePoint now) -> EdgeDecision {
@@ -42,7 +42,8 @@
   return p.Opens ? open(p, *route, now) : carryOn(p, now);
 }
 
-auto Forwarder::upstreamOf(const FlowEntry &e) const -> const Upstream * {
+auto Forwarder::upstreamOf(const FlowEntry &e) const
+    -> const UpstreamLifetime * {
   const auto *u = Known.find(e.Tag);
   return u != nullptr && u->Index == e.Index ? u : nullptr;
 }
@@ -105,7 +106,7 @@
 
 auto Forwarder::carryOn(const FlowPacket &p, TimePoint now) -> EdgeDecision {
   auto *e = Flows.find(p.Flow);
-  const Upstream *u = nullptr;
+  const UpstreamLifetime *u = nullptr;
   auto why = EdgeReason::Pinned;
   if (e != nullptr && e->Open)
     u = upstreamOf(*e);
@@ -133,8 +134,8 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
-auto Forwarder::observe(const FlowPacket &p, FlowEntry &e, const Upstream &u,
-                        TimePoint now) -> void {
+auto Forwarder::observe(const FlowPacket &p, FlowEntry &e,
+                        const UpstreamLifetime &u, TimePoint now) -> void {
   e.SeenAt = now;
   if (!e.Open || e.Tag != u.Tag) {
     pin(p, e, u, now);
@@ -158,8 +159,8 @@
 }
 
 /// The packet repeats what the upstream sent, so the upstream has answered.
-auto Forwarder::pin(const FlowPacket &p, FlowEntry &e, const Upstream &u,
-                    TimePoint now) -> void {
+auto Forwarder::pin(const FlowPacket &p, FlowEntry &e,
+                    const UpstreamLifetime &u, TimePoint now) -> void {
   const auto sawOpening = e.FirstSequence != 0;
   if (sawOpening && e.Tag == u.Tag && !e.Unanswered)
     AnswerTime = now - e.OpenedAt;
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -2,9 +2,9 @@
 /// Decides what becomes of each packet of a caller: to which upstream it goes,
 /// or whether the flow is reset or the packet dropped.
 ///
-/// An opening packet goes to the upstream that Picker chooses. Every later one
-/// goes to the upstream that its tag names, whichever instance sees it. A flow
-/// whose upstream is gone, whose route was removed or that no upstream can
+/// An opening packet goes to the upstream that a Placement chooses. Every later
+/// one goes to the upstream that its tag names, whichever instance sees it. A
+/// flow whose upstream is gone, whose route was removed or that no upstream can
 /// take is reset at once, so that its caller may come back at once.
 ///
 /// Example:
@@ -17,9 +17,10 @@
 #ifndef BORAGEBRIDGE_EDGE_FORWARDER_H
 #define BORAGEBRIDGE_EDGE_FORWARDER_H
 
+#include "edge/estimates.h"
 #include "edge/flow_cache.h"
 #include "edge/flow_packet.h"
-#include "edge/picker.h"
+#include "edge/placement.h"
 
 #include <array>
 
@@ -51,7 +52,7 @@
   EdgeAction What = EdgeAction::Drop;
   EdgeReason Why = EdgeReason::NotReady;
   /// Set when it is forwarded.
-  const Upstream *To = nullptr;
+  const UpstreamLifetime *To = nullptr;
   /// For an opening packet: how To was chosen.
   PickReason Chosen = PickReason::None;
 };
@@ -74,7 +75,7 @@
 class Forwarder {
 public:
   /// All references outlive the forwarder.
-  Forwarder(const Directory &dir, Estimates &est, Picker &picker,
+  Forwarder(const Directory &dir, Estimates &est, Placement &placement,
             ForwarderOptions opt = {});
 
   auto decide(const FlowPacket &p, TimePoint now) -> EdgeDecision;
@@ -105,17 +106,17 @@
   auto forwardOpening(const FlowPacket &p, FlowEntry &e, const Pick &pick,
                       EdgeReason why, TimePoint now) -> EdgeDecision;
   auto carryOn(const FlowPacket &p, TimePoint now) -> EdgeDecision;
-  auto observe(const FlowPacket &p, FlowEntry &e, const Upstream &u,
+  auto observe(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
                TimePoint now) -> void;
-  auto pin(const FlowPacket &p, FlowEntry &e, const Upstream &u, TimePoint now)
-      -> void;
+  auto pin(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
+           TimePoint now) -> void;
   auto judgeOpening(const Opening &o, TimePoint now) -> void;
-  auto upstreamOf(const FlowEntry &e) const -> const Upstream *;
+  auto upstreamOf(const FlowEntry &e) const -> const UpstreamLifetime *;
   auto awaitAnswer(const FlowEntry &e, TimePoint now) -> void;
 
   const Directory &Known;
   Estimates &Loads;
-  Picker &Chooser;
+  Placement &Chooser;
   ForwarderOptions Options;
   FlowCache Flows;
   std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count)>
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -2,29 +2,13 @@
 
 namespace boragebridge {
 
-auto toString(PickReason r) -> std::string_view {
-  switch (r) {
-  case PickReason::Best:
-    return "best";
-  case PickReason::Cold:
-    return "cold";
-  case PickReason::Avoided:
-    return "avoided";
-  case PickReason::Missing:
-    return "missing";
-  case PickReason::None:
-    return "none";
-  }
-  return "unknown";
-}
-
 Picker::Picker(const Directory &dir, Estimates &est, ColdShare &cold,
                RandomSource &random, PickerOptions opt)
     : Known(dir), Loads(est), Cold(cold), Random(random), Options(opt) {}
 
-auto Picker::pick(const RouteRecord &route, const Upstream *except,
+auto Picker::pick(const RouteRecord &route, const UpstreamLifetime *except,
                   TimePoint now) -> Pick {
-  const auto first = chooseService(route);
+  const auto first = chooseService(route, Random);
   const auto n = route.Services.size();
   Pick best;
   for (std::size_t i = 0; i < n && best.Chosen == nullptr; ++i)
@@ -36,23 +20,8 @@
   return best;
 }
 
-auto Picker::chooseService(const RouteRecord &route) -> std::size_t {
-  if (route.Services.size() == 1)
-    return 0;
-  std::uint64_t total = 0;
-  for (const auto &it : route.Services)
-    total += it.Weight;
-  auto left = total == 0 ? 0 : Random.below(total);
-  for (std::size_t i = 0; i < route.Services.size(); ++i) {
-    if (left < route.Services[i].Weight)
-      return i;
-    left -= route.Services[i].Weight;
-  }
-  return 0;
-}
-
-auto Picker::pickOf(ServiceId service, const Upstream *except, TimePoint now)
-    -> Pick {
+auto Picker::pickOf(ServiceId service, const UpstreamLifetime *except,
+                    TimePoint now) -> Pick {
   Pick best;
   auto bestCost = 0.0;
   for (const auto *it : Known.upstreamsOf(service)) {
@@ -70,8 +39,8 @@
   return best;
 }
 
-auto Picker::classify(const Upstream &u, ServiceId service, TimePoint now) const
-    -> PickReason {
+auto Picker::classify(const UpstreamLifetime &u, ServiceId service,
+                      TimePoint now) const -> PickReason {
   if (!Known.mayOpenAtWorst(u, now))
     return PickReason::None;
   if (Known.isCold(u, now))
@@ -83,7 +52,7 @@
   return Loads.isAvoided(u, now) ? PickReason::Avoided : PickReason::Best;
 }
 
-auto Picker::cost(const Upstream &u, TimePoint now) -> double {
+auto Picker::cost(const UpstreamLifetime &u, TimePoint now) -> double {
   auto expected = Loads.expectedTime(u, now);
   if (u.Record.DataCentre != Options.Own)
     expected += Options.RemotePenalty;
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -16,6 +16,7 @@
 #include "boragebridge/random.h"
 #include "edge/cold_share.h"
 #include "edge/estimates.h"
+#include "edge/placement.h"
 
 namespace boragebridge {
 
@@ -29,34 +30,22 @@
   double RandomShare = 0.25;
 };
 
-/// Why an upstream was chosen; the order of preference.
-enum class PickReason : std::uint8_t { Best, Cold, Avoided, Missing, None };
-
-auto toString(PickReason r) -> std::string_view;
-
-struct Pick {
-  /// Null: no upstream can take the flow.
-  const Upstream *Chosen = nullptr;
-  PickReason Reason = PickReason::None;
-};
-
-class Picker {
+class Picker final : public Placement {
 public:
   /// All references outlive the picker.
   Picker(const Directory &dir, Estimates &est, ColdShare &cold,
          RandomSource &random, PickerOptions opt);
 
-  /// Chooses for a new flow of \p route; never \p except, unless nothing else
-  /// is left. Notes the choice as work, trial or use of the cold share.
-  auto pick(const RouteRecord &route, const Upstream *except, TimePoint now)
-      -> Pick;
+  /// Notes the choice as work, trial or use of the cold share.
+  auto pick(const RouteRecord &route, const UpstreamLifetime *except,
+            TimePoint now) -> Pick override;
 
 private:
-  auto chooseService(const RouteRecord &route) -> std::size_t;
-  auto pickOf(ServiceId service, const Upstream *except, TimePoint now) -> Pick;
-  auto classify(const Upstream &u, ServiceId service, TimePoint now) const
-      -> PickReason;
-  auto cost(const Upstream &u, TimePoint now) -> double;
+  auto pickOf(ServiceId service, const UpstreamLifetime *except, TimePoint now)
+      -> Pick;
+  auto classify(const UpstreamLifetime &u, ServiceId service,
+                TimePoint now) const -> PickReason;
+  auto cost(const UpstreamLifetime &u, TimePoint now) -> double;
   auto note(const Pick &p, TimePoint now) -> void;
 
   const Directory &Known;
--- /dev/null
+++ b/src/edge/placement.h
@@ -0,0 +1,43 @@
+/// \file
+/// Where new flows go: the strategy that Forwarder asks. Picker is the one in
+/// use; others serve as baselines in experiments.
+#ifndef BORAGEBRIDGE_EDGE_PLACEMENT_H
+#define BORAGEBRIDGE_EDGE_PLACEMENT_H
+
+#include "boragebridge/random.h"
+#include "edge/directory.h"
+
+namespace boragebridge {
+
+/// Why an upstream was chosen; the order of preference.
+enum class PickReason : std::uint8_t { Best, Cold, Avoided, Missing, None };
+
+auto toString(PickReason r) -> std::string_view;
+
+struct Pick {
+  /// Null: no upstream can take the flow.
+  const UpstreamLifetime *Chosen = nullptr;
+  PickReason Reason = PickReason::None;
+};
+
+/// Index of one of the services of \p route, drawn by their weights.
+auto chooseService(const RouteRecord &route, RandomSource &random)
+    -> std::size_t;
+
+/// Implementations are used by one thread.
+class Placement {
+public:
+  Placement() = default;
+  Placement(const Placement &) = delete;
+  auto operator=(const Placement &) -> Placement & = delete;
+  virtual ~Placement() = default;
+
+  /// Chooses for a new flow of \p route; never \p except, unless nothing else
+  /// is left. The choice counts as made.
+  virtual auto pick(const RouteRecord &route, const UpstreamLifetime *except,
+                    TimePoint now) -> Pick = 0;
+};
+
+} // namespace boragebridge
+
+#endif
--- a/test/edge/cold_share_test.cpp
+++ b/test/edge/cold_share_test.cpp
@@ -19,7 +19,7 @@
     r.ColdFor = seconds(20);
     start({r});
   }
-  auto upstream() const -> const Upstream & {
+  auto upstream() const -> const UpstreamLifetime & {
     return *Known.find(tagOf("i-1", seconds(1000)));
   }
 };
--- a/test/edge/edge_fixture.h
+++ b/test/edge/edge_fixture.h
@@ -6,6 +6,7 @@
 
 #include "boragebridge/clock.h"
 #include "edge/forwarder.h"
+#include "edge/picker.h"
 
 namespace boragebridge {
 
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -57,7 +57,7 @@
     Store.answer("evacuations/", ObjectList{{}, 9});
     Views.tick(Time.now());
   }
-  auto find(const std::string &name) const -> const Upstream * {
+  auto find(const std::string &name) const -> const UpstreamLifetime * {
     return Known.find(tagOf(name, milliseconds(5)));
   }
 };
--- a/test/edge/estimates_test.cpp
+++ b/test/edge/estimates_test.cpp
@@ -19,7 +19,7 @@
     remote3.DataCentre = Other;
     start({record("i-1", 1), record("i-2", 2), remote, remote2, remote3});
   }
-  auto upstream(const std::string &name) const -> const Upstream & {
+  auto upstream(const std::string &name) const -> const UpstreamLifetime & {
     return *Known.find(tagOf(name, seconds(1000)));
   }
   auto strike(const std::string &name) -> void {
