Find a store that is silent for the root of a relay tree

Cause, from the logs of both instances: the parent was cut off from the store in silence at 21.34 s, while its next watch was connecting. A call that connects has no keep-alive yet, so it waited for its limit of 6 s, and the mirror went on vouching for the view. Besides, readers stayed at the version of their last event, so the store's history was gone for them when they went to it; and that answer did not count as one of the store, so they asked the parent again.

Change: an instance that reads the store itself pings it when nothing was answered for 1 s (a stale read at a tenth of the price). No answer within 700 ms, or a version told by two pings that no watch told of, ends the open calls, and readers ask the store. Mirrors tell the version up to which nothing changed; 'history gone' is an answer.

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -1,8 +1,10 @@
 #include "edge/edge_views.h"
 
 #include "edge/edge_events.h"
+#include "store/platform_events.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragebridge {
 
@@ -59,7 +61,8 @@
             Mirror.setConfirmed(prefix, false);
             Known.noteStoreFailure(Time.now());
           },
-          [this, prefix] { Mirror.setConfirmed(prefix, true); }};
+          [this, prefix] { Mirror.setConfirmed(prefix, true); },
+          [this, prefix](ObjectVersion v) { Mirror.advance(prefix, v); }};
 }
 
 auto EdgeViews::tick(TimePoint now) -> void {
@@ -70,6 +73,7 @@
     Relay.setParent(Tree.parent(now));
   for (const auto &it : Watchers)
     it.second->tick(now);
+  probeStore(now);
   Mirror.tick(now);
   registerSelf(now);
 }
@@ -79,6 +83,51 @@
                      [](const auto &it) { return it.second->isReachable(); });
 }
 
+auto EdgeViews::lastAnswer() const -> TimePoint {
+  return std::max({Upstreams.confirmedAt(), Configurations.confirmedAt(),
+                   Withdrawals.confirmedAt(), MemberWatch.confirmedAt()});
+}
+
+auto EdgeViews::probeStore(TimePoint now) -> void {
+  if (!Options.Ping || Pinging || Relay.hasParent() || !isComplete() ||
+      !isStoreReachable() ||
+      now - std::max(lastAnswer(), PingedAt) < Options.PingInterval)
+    return;
+  Pinging = true;
+  Options.Ping([this, now, alive = std::weak_ptr<bool>(Alive)](const auto &r) {
+    if (!alive.expired())
+      onPing(now, r);
+  });
+}
+
+auto EdgeViews::newestVersion() const -> ObjectVersion {
+  return std::max({Upstreams.version(), Configurations.version(),
+                   Withdrawals.version(), MemberWatch.version()});
+}
+
+auto EdgeViews::onPing(TimePoint asked, const absl::StatusOr<ObjectVersion> &r)
+    -> void {
+  Pinging = false;
+  PingedAt = Time.now();
+  const auto before = std::exchange(PingedVersion, r.ok() ? *r : 0);
+  if (!r.ok() && lastAnswer() <= asked)
+    return abandonCalls(r.status());
+  // A watch has had the whole time between two pings to tell of it.
+  if (r.ok() && before > newestVersion())
+    abandonCalls(absl::DataLossError("a watch did not tell of version " +
+                                     std::to_string(before)));
+}
+
+auto EdgeViews::abandonCalls(const absl::Status &why) -> void {
+  const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
+      PingedAt - lastAnswer());
+  Log.write(events::StoreSilent, {{"silent_ms", std::to_string(silent.count())},
+                                  {"version", std::to_string(newestVersion())},
+                                  {"why", std::string(why.message())}});
+  for (const auto &it : Watchers)
+    it.second->abandon(why);
+}
+
 auto EdgeViews::askSeeds(TimePoint now) -> void {
   if (isComplete() || Options.Seeds.empty())
     return;
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -39,6 +39,12 @@
   wake(p);
 }
 
+auto ObjectMirror::advance(const std::string &prefix, ObjectVersion version)
+    -> void {
+  auto &p = Prefixes[prefix];
+  p.Version = std::max(p.Version, version);
+}
+
 auto ObjectMirror::setConfirmed(const std::string &prefix, bool confirmed)
     -> void {
   auto &p = Prefixes[prefix];
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -37,6 +37,8 @@
   auto replace(const std::string &prefix, const ObjectList &all) -> void;
   /// Applies what a watch of \p prefix returned.
   auto apply(const std::string &prefix, const ObjectList &events) -> void;
+  /// Nothing below \p prefix changed up to \p version.
+  auto advance(const std::string &prefix, ObjectVersion version) -> void;
   /// Whether the view of \p prefix is confirmed. Watches that wait end when it
   /// no longer is.
   auto setConfirmed(const std::string &prefix, bool confirmed) -> void;
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -29,22 +29,32 @@
   return true;
 }
 
+auto ObjectWatcher::onAnswer(
+    void (ObjectWatcher::*f)(const absl::StatusOr<ObjectList> &))
+    -> PlatformClient::Callback<ObjectList> {
+  return [this, f, call = ++Call, alive = std::weak_ptr<bool>(Alive)](
+             const absl::StatusOr<ObjectList> &r) {
+    if (!alive.expired() && call == Call)
+      (this->*f)(r);
+  };
+}
+
 auto ObjectWatcher::startList() -> void {
-  Ctx.Store.list(Options.Prefix, [this, alive = std::weak_ptr<bool>(Alive)](
-                                     const absl::StatusOr<ObjectList> &r) {
-    if (!alive.expired())
-      onList(r);
-  });
+  Ctx.Store.list(Options.Prefix, onAnswer(&ObjectWatcher::onList));
 }
 
 auto ObjectWatcher::startWatch() -> void {
   Ctx.Store.watch(Options.Prefix, Version,
                   Failures > 0 ? Options.FirstWait : Options.Wait,
-                  [this, alive = std::weak_ptr<bool>(Alive)](
-                      const absl::StatusOr<ObjectList> &r) {
-                    if (!alive.expired())
-                      onWatch(r);
-                  });
+                  onAnswer(&ObjectWatcher::onWatch));
+}
+
+auto ObjectWatcher::abandon(const absl::Status &why) -> void {
+  if (!Waiting)
+    return;
+  Waiting = false;
+  ++Call;
+  onFailure(why);
 }
 
 auto ObjectWatcher::onList(const absl::StatusOr<ObjectList> &r) -> void {
@@ -72,8 +82,11 @@
   if (r->CurrentVersion < Version)
     return;
   Version = r->CurrentVersion;
-  if (r->Events.empty())
+  if (r->Events.empty()) {
+    if (Handlers.OnUnchanged)
+      Handlers.OnUnchanged(Version);
     return;
+  }
   NextCall = Ctx.Time.now() + Options.Gather;
   Handlers.OnEvents(*r);
 }
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -57,6 +57,8 @@
   /// The first answer after a failure, before what it holds is delivered. May
   /// be empty.
   std::function<void()> OnRegained = {};
+  /// Nothing changed up to this version. May be empty.
+  std::function<void(ObjectVersion)> OnUnchanged = {};
 };
 
 class ObjectWatcher {
@@ -73,6 +75,9 @@
   /// answered yet. The next answer of the store replaces it. Returns whether it
   /// was taken.
   auto adopt(const ObjectList &list) -> bool;
+  /// Takes the open call, if there is one, for failed with \p why; what it may
+  /// still answer is left out.
+  auto abandon(const absl::Status &why) -> void;
   /// Whether a list was delivered.
   auto isKnown() const -> bool { return Version != 0; }
   /// Whether the last call that ended was answered.
@@ -84,6 +89,9 @@
 private:
   auto startList() -> void;
   auto startWatch() -> void;
+  /// What to do with the answer of the call that is about to start.
+  auto onAnswer(void (ObjectWatcher::*f)(const absl::StatusOr<ObjectList> &))
+      -> PlatformClient::Callback<ObjectList>;
   auto onList(const absl::StatusOr<ObjectList> &r) -> void;
   auto onWatch(const absl::StatusOr<ObjectList> &r) -> void;
   auto onFailure(const absl::Status &s) -> void;
@@ -95,6 +103,8 @@
   ObjectVersion Version = 0;
   bool MustList = true;
   bool Waiting = false;
+  /// Number of the last call; answers of earlier ones are left out.
+  std::uint64_t Call = 0;
   unsigned Failures = 0;
   TimePoint NextCall;
   TimePoint ConfirmedAt;
--- a/src/store/platform_events.h
+++ b/src/store/platform_events.h
@@ -14,6 +14,7 @@
 inline constexpr LogEvent WatchRegained{1303, Severity::Info, "watch_regained"};
 inline constexpr LogEvent WatchHistoryGone{1304, Severity::Info,
                                            "watch_history_gone"};
+inline constexpr LogEvent StoreSilent{1305, Severity::Warning, "store_silent"};
 
 } // namespace boragebridge::events
 
--- a/src/store/relayed_platform.cpp
+++ b/src/store/relayed_platform.cpp
@@ -61,8 +61,10 @@
   ++StoreCalls;
   retry([this, alive = std::weak_ptr<bool>(Alive), parent, why = doubt.status(),
          done = std::move(done)](absl::StatusOr<ObjectList> r) {
-    // The store answers this instance: the doubt is the parent's alone.
-    if (!alive.expired() && r.ok())
+    // The store answers this instance, if only that its history is gone: the
+    // doubt is the parent's alone.
+    const auto isAnswered = r.ok() || absl::IsOutOfRange(r.status());
+    if (!alive.expired() && isAnswered)
       Lost(parent, why);
     done(std::move(r));
   });
--- a/src/store/store_dialect.cpp
+++ b/src/store/store_dialect.cpp
@@ -16,6 +16,8 @@
   return "/v1/objects/" + encodeUrlText(key);
 }
 
+auto NativeDialect::ping() const -> StoreRequest { return list("ping/", ""); }
+
 auto NativeDialect::get(const std::string &key) const -> StoreRequest {
   return {"GET", objectPath(key)};
 }
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -46,6 +46,19 @@
   BOOST_TEST(l->Events[0].Object.Key == "p/b");
 }
 
+// own-217 of cenacolo-bridge: readers stayed at an old version while nothing
+// changed, and the store no longer had its history when they went to it.
+BOOST_AUTO_TEST_CASE(ReadersLearnTheVersionUpToWhichNothingChanged) {
+  start();
+  Mirror.advance("p/", 40);
+  watch(7);
+  BOOST_TEST(!Answer.has_value());
+  Mirror.tick(Time.now() + seconds(2));
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST((*Answer)->CurrentVersion == 40U);
+  BOOST_TEST((*Answer)->Events.empty());
+}
+
 BOOST_AUTO_TEST_CASE(WatchGetsWhatCameAfterItsVersion) {
   start();
   Mirror.apply("p/", {{object("p/c", 8)}, 9});
--- a/test/store/object_watcher_test.cpp
+++ b/test/store/object_watcher_test.cpp
@@ -19,11 +19,14 @@
   std::size_t Lists = 0;
   std::size_t Events = 0;
   std::size_t Failures = 0;
+  ObjectVersion Unchanged = 0;
   ObjectWatcher Watcher{{Store, Time, Random, Log},
                         {.Prefix = "p/"},
                         {[this](const auto &) { ++Lists; },
                          [this](const auto &l) { Events += l.Events.size(); },
-                         [this](const auto &) { ++Failures; }}};
+                         [this](const auto &) { ++Failures; },
+                         {},
+                         [this](auto v) { Unchanged = v; }}};
 
   auto advance(Duration d) -> void {
     Time.advance(d);
@@ -97,6 +100,30 @@
   BOOST_TEST(call.After == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(VersionIsToldWhenNothingChanged) {
+  listed(7);
+  Store.answer("p/", ObjectList{{}, 30});
+  BOOST_TEST(Unchanged == 30U);
+  BOOST_TEST(Events == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CallThatIsGivenUpCountsAsFailedAndItsAnswerIsLeftOut) {
+  listed(7);
+  auto call = Store.take("p/");
+  Watcher.abandon(absl::UnavailableError("silent"));
+  BOOST_TEST(Failures == 1U);
+  BOOST_TEST(!Watcher.isReachable());
+  call.Done(oneEvent(9));
+  BOOST_TEST(Events == 0U);
+  advance(milliseconds(160));
+  BOOST_TEST(Store.take("p/").After == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(GivingUpWithoutACallIsNoFailure) {
+  Watcher.abandon(absl::UnavailableError("silent"));
+  BOOST_TEST(Failures == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(PausesBetweenFailuresGrowUpToTheLimit) {
   Watcher.tick(Time.now());
   Duration last{};
--- a/test/store/relayed_platform_test.cpp
+++ b/test/store/relayed_platform_test.cpp
@@ -101,6 +101,16 @@
   BOOST_TEST(Lost == 1U);
 }
 
+// own-217 of cenacolo-bridge: the store had answered that its history was gone,
+// and the reader went on asking a parent that was cut off.
+BOOST_AUTO_TEST_CASE(ParentInDoubtIsLostWhenTheStoreAnswersThatHistoryIsGone) {
+  Relay.setParent(Parent);
+  watch();
+  Mirror->answer("p/", absl::FailedPreconditionError("not confirmed"));
+  Store.answer("p/", absl::OutOfRangeError("gone"));
+  BOOST_TEST(Lost == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(HistoryThatIsGoneIsAnAnswer) {
   Relay.setParent(Parent);
   watch();
