Call no upstream dark while flows of most upstreams send again

Cause, from their logs (why=upstream_dark): a storm of configurations of 372 routes filled the 10 Mbit/s link of a weak instance in bursts, after half of the fleet had been removed.

Ruled out: the upstream (it answered others), age of the view (0.3 to 0.9 s).

--- a/src/edge/estimates.cpp
+++ b/src/edge/estimates.cpp
@@ -96,6 +96,7 @@
 auto Estimates::onRepeat(const UpstreamLifetime &u, TimePoint first,
                          TimePoint before, TimePoint now) -> void {
   auto &e = entry(u);
+  e.RepeatedAt = now;
   // One strike for each flow as long as nothing makes progress.
   if (before <= e.ProgressAt)
     strike(u, e, now);
@@ -153,10 +154,23 @@
   return e == nullptr ? 0 : e->Strikes;
 }
 
+auto Estimates::isWidespread(TimePoint now) const -> bool {
+  const auto since = now - Options.DarkWindow;
+  std::size_t repeating = 0;
+  std::size_t clean = 0;
+  for (const auto &it : Entries) {
+    if (it.RepeatedAt >= since)
+      ++repeating;
+    else if (it.ProgressAt >= since)
+      ++clean;
+  }
+  return repeating > clean;
+}
+
 auto Estimates::isDark(const UpstreamLifetime &u, TimePoint now) const -> bool {
   const auto *e = find(u);
   return e != nullptr && e->Waiting >= Options.DarkFlows &&
-         now - e->FirstWaiting <= Options.MaxAvoidance;
+         now - e->FirstWaiting <= Options.MaxAvoidance && !isWidespread(now);
 }
 
 auto Estimates::expectedTime(const UpstreamLifetime &u, TimePoint now) const
--- a/src/edge/estimates.h
+++ b/src/edge/estimates.h
@@ -9,11 +9,13 @@
 ///    each further strike, then a single flow tries it;
 ///  - data that a caller sent again after this instance had sent it on. When
 ///    several flows get no answer for long, while others of this instance are
-///    answered promptly, their upstream is dark.
+///    answered promptly and most upstreams have no such flow at all, their
+///    upstream is dark.
 /// Any progress of any flow of the upstream clears both.
 ///
 /// Answers load of up to tens of thousands of openings a second: each call is
-/// of constant time. Free of I/O; not thread-safe.
+/// of constant time, but isDark() for an upstream with waiting flows, which
+/// looks at all. Free of I/O; not thread-safe.
 #ifndef BORAGEBRIDGE_EDGE_ESTIMATES_H
 #define BORAGEBRIDGE_EDGE_ESTIMATES_H
 
@@ -109,6 +111,8 @@
     TimePoint LastStrike;
     TimePoint AvoidUntil;
     TimePoint ProgressAt;
+    /// When a flow last sent data again.
+    TimePoint RepeatedAt;
     /// Flows that waited for long since FirstWaiting.
     unsigned Waiting = 0;
     TimePoint FirstWaiting;
@@ -122,6 +126,9 @@
   auto find(const UpstreamLifetime &u) const -> const Entry *;
   auto strike(const UpstreamLifetime &u, Entry &e, TimePoint now) -> void;
   auto noteWaiting(Entry &e, TimePoint now) -> void;
+  /// Whether flows of most upstreams had to send again within DarkWindow: then
+  /// the trouble is this instance's own, or everybody's.
+  auto isWidespread(TimePoint now) const -> bool;
   auto avoidance(unsigned strikes) const -> Duration;
 
   EstimateOptions Options;
--- a/test/edge/estimates_test.cpp
+++ b/test/edge/estimates_test.cpp
@@ -119,6 +119,26 @@
   }
 }
 
+// FLOW on own-319 of cenacolo-bridge-grown: a storm of configurations filled
+// the link of a weak instance now and then, and flows waited while some
+// handshakes between were prompt.
+BOOST_AUTO_TEST_CASE(FlowsThatWaitAtMostUpstreamsAreNotDark) {
+  for (const auto *it : {"i-3", "i-4"})
+    repeat(it, milliseconds(200));
+  for (int i = 0; i < 3; ++i) {
+    answerPromptly();
+    repeat("i-1", milliseconds(600));
+  }
+  BOOST_TEST(!Loads.isDark(upstream("i-1"), now()));
+  // Those of others lie back by now.
+  Time.advance(seconds(2));
+  for (int i = 0; i < 3; ++i) {
+    answerPromptly();
+    repeat("i-1", milliseconds(600));
+  }
+  BOOST_TEST(Loads.isDark(upstream("i-1"), now()));
+}
+
 // FLOW on trouble-1 of cenacolo-bridge-grown: while instances are stopped in
 // turn, packets after the handshake go to others, and one opening in a few
 // seconds seemed unanswered for upstreams that this instance rarely uses.
