Model the packet edge and its surroundings; boragebench edge

boragebench edge plays seeds, one kind of trouble or a mix, any size, and the baselines random, round robin and least outstanding in the same run.

--- /dev/null
+++ b/bench/edge.cpp
@@ -0,0 +1,208 @@
+#include "edge_model/troubles.h"
+#include "experiments.h"
+
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+namespace boragebridge::bench {
+
+namespace json = boost::json;
+using edge_model::EdgeModel;
+using edge_model::Rule;
+
+namespace {
+
+/// Time before the first trouble, and after the last one may have begun.
+constexpr Duration CalmBefore = std::chrono::seconds(5);
+constexpr Duration CalmAfter = std::chrono::seconds(15);
+/// Long enough for requests that are under way at the end.
+constexpr Duration LastRequests = std::chrono::seconds(8);
+
+struct Arguments {
+  edge_model::EdgeModelOptions Model;
+  std::string Scenario;
+  std::size_t Troubles = 6;
+  Duration Length{};
+  std::uint64_t Runs = 1;
+  bool Baselines = false;
+};
+
+/// Figures of one run, or of several with the sums of their counts.
+struct Figures {
+  edge_model::ModelOutcome Outcome;
+  std::array<std::uint64_t, static_cast<std::size_t>(Rule::Count)> Broken{};
+  double StoreCalls = 0;
+  std::chrono::duration<double> Time{};
+  std::vector<std::uint64_t> BrokenSeeds;
+
+  auto add(EdgeModel &m, std::uint64_t seed, Duration length) -> void {
+    const auto &o = m.outcome();
+    Outcome.Asked += o.Asked;
+    Outcome.Served += o.Served;
+    Outcome.Late += o.Late;
+    Outcome.ResponseTime += o.ResponseTime;
+    Outcome.Openings += o.Openings;
+    Outcome.RemoteOpenings += o.RemoteOpenings;
+    for (std::size_t i = 0; i < Broken.size(); ++i)
+      Broken.at(i) += m.rules().count(static_cast<Rule>(i));
+    StoreCalls += m.storeCalls();
+    Time += length;
+    if (m.rules().total() > 0)
+      BrokenSeeds.push_back(seed);
+  }
+};
+
+auto share(std::uint64_t part, std::uint64_t whole) -> double {
+  return whole == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+auto toJson(const Figures &f, std::size_t instances) -> json::object {
+  json::object broken;
+  for (std::size_t i = 0; i < f.Broken.size(); ++i)
+    if (f.Broken.at(i) > 0)
+      broken[edge_model::toString(static_cast<Rule>(i))] = f.Broken.at(i);
+  json::array seeds;
+  for (const auto it : f.BrokenSeeds)
+    seeds.push_back(it);
+  const auto &o = f.Outcome;
+  // Response time of what was served, in units of the mean work.
+  const auto meanWork = edge_model::UpstreamOptions().MeanWork;
+  const auto cost = o.Served == 0
+                        ? 0
+                        : std::chrono::duration<double>(o.ResponseTime) /
+                              std::chrono::duration<double>(meanWork) /
+                              static_cast<double>(o.Served);
+  return {{"rules_broken", std::move(broken)},
+          {"broken_seeds", std::move(seeds)},
+          {"asked", o.Asked},
+          {"served", share(o.Served, o.Asked)},
+          {"late", share(o.Late, o.Served)},
+          {"relative_cost", cost},
+          {"remote_openings", share(o.RemoteOpenings, o.Openings)},
+          {"store_calls_per_instance_second",
+           f.StoreCalls / static_cast<double>(instances) / f.Time.count()}};
+}
+
+auto play(const Arguments &a, std::uint64_t seed, Figures &sum) -> void {
+  auto options = a.Model;
+  options.Seed = seed;
+  EdgeModel model(options);
+  model.run(CalmBefore);
+  const auto *only = edge_model::findTrouble(a.Scenario);
+  const auto plan =
+      a.Scenario == "calm"
+          ? std::vector<edge_model::PlannedTrouble>{}
+          : edge_model::drawTroubles(seed, a.Troubles, a.Length, only);
+  planTroubles(model, plan);
+  model.run(a.Length + CalmAfter);
+  model.stopCallers();
+  model.run(LastRequests);
+  sum.add(model, seed, CalmBefore + a.Length + CalmAfter + LastRequests);
+  if (model.rules().total() == 0)
+    return;
+  std::cout << "seed " << seed << ":\n";
+  for (const auto &it : plan)
+    std::cout << "  at " << std::chrono::duration<double>(it.At).count()
+              << " s " << it.Kind->Name << " for "
+              << std::chrono::duration<double>(it.For).count() << " s\n";
+  for (const auto &it : model.rules().breaches())
+    std::cout << "  broken at "
+              << std::chrono::duration<double>(it.At.time_since_epoch() -
+                                               std::chrono::hours(1) -
+                                               CalmBefore)
+                     .count()
+              << " s " << toString(it.Broken) << ": " << it.What << '\n';
+  std::cout << std::flush;
+}
+
+auto playAll(const Arguments &a) -> Figures {
+  Figures sum;
+  for (std::uint64_t i = 0; i < a.Runs; ++i)
+    play(a, a.Model.Seed + i, sum);
+  return sum;
+}
+
+auto isKnown(const std::string &scenario) -> bool {
+  return scenario == "calm" || scenario == "mixed" ||
+         edge_model::findTrouble(scenario) != nullptr;
+}
+
+auto makeOptions() -> cxxopts::Options {
+  cxxopts::Options options(
+      "boragebench edge",
+      "The packet edge under troubles, on a model of its surroundings.");
+  options.add_options()("seed", "first seed",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "runs", "seeds that are played, one after the other",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "instances", "instances of the edge",
+      cxxopts::value<std::size_t>()->default_value("6"))(
+      "data-centres", "data centres",
+      cxxopts::value<std::size_t>()->default_value("3"))(
+      "upstreams", "upstreams of all services",
+      cxxopts::value<std::size_t>()->default_value("18"))(
+      "load", "requests a second for each upstream",
+      cxxopts::value<double>()->default_value("25"))(
+      "scenario", "calm, mixed, or one kind of trouble",
+      cxxopts::value<std::string>()->default_value("mixed"))(
+      "troubles", "troubles of a run",
+      cxxopts::value<std::size_t>()->default_value("6"))(
+      "seconds", "time in which troubles begin",
+      cxxopts::value<unsigned>()->default_value("25"))(
+      "baselines", "play other ways to place flows as well")("help",
+                                                             "this text");
+  return options;
+}
+
+} // namespace
+
+auto runEdge(int argc, char **argv) -> int {
+  constexpr int UsageError = 2;
+  auto options = makeOptions();
+  const auto args = options.parse(argc, argv);
+  if (args.count("help") != 0) {
+    std::cout << options.help() << "\nKinds of trouble:\n";
+    for (const auto &it : edge_model::allTroubles())
+      std::cout << "  " << it.Name << '\n';
+    return 0;
+  }
+  Arguments a;
+  a.Model.Seed = args["seed"].as<std::uint64_t>();
+  a.Model.Instances = args["instances"].as<std::size_t>();
+  a.Model.DataCentres = args["data-centres"].as<std::size_t>();
+  a.Model.Upstreams = args["upstreams"].as<std::size_t>();
+  a.Model.RequestsPerUpstream = args["load"].as<double>();
+  a.Scenario = args["scenario"].as<std::string>();
+  a.Troubles = args["troubles"].as<std::size_t>();
+  a.Length = std::chrono::seconds(args["seconds"].as<unsigned>());
+  a.Runs = args["runs"].as<std::uint64_t>();
+  if (!isKnown(a.Scenario) || a.Model.Instances == 0 ||
+      a.Model.DataCentres == 0 || a.Model.Upstreams == 0) {
+    std::cerr << "boragebench edge: unknown scenario '" << a.Scenario
+              << "', or an empty installation\n";
+    return UsageError;
+  }
+  const auto own = playAll(a);
+  auto out = toJson(own, a.Model.Instances);
+  out["experiment"] = "edge";
+  out["seed"] = a.Model.Seed;
+  out["runs"] = a.Runs;
+  out["scenario"] = a.Scenario;
+  out["instances"] = a.Model.Instances;
+  out["upstreams"] = a.Model.Upstreams;
+  if (args.count("baselines") != 0) {
+    json::object baselines;
+    for (const auto *name : {"random", "round_robin", "least_outstanding"}) {
+      a.Model.Placement = name;
+      baselines[name] = toJson(playAll(a), a.Model.Instances);
+    }
+    out["baselines"] = std::move(baselines);
+  }
+  std::cout << json::serialize(out) << '\n';
+  return own.BrokenSeeds.empty() ? 0 : 1;
+}
+
+} // namespace boragebridge::bench
--- a/bench/experiments.h
+++ b/bench/experiments.h
@@ -9,6 +9,7 @@
 auto runConfig(int argc, char **argv) -> int;
 auto runCost(int argc, char **argv) -> int;
 auto runDeparture(int argc, char **argv) -> int;
+auto runEdge(int argc, char **argv) -> int;
 auto runFlows(int argc, char **argv) -> int;
 auto runImbalance(int argc, char **argv) -> int;
 auto runLoad(int argc, char **argv) -> int;
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -16,6 +16,7 @@
     Experiment{"load", "callers against running processes", runLoad},
     Experiment{"chaos", "random failures, all promises checked", runChaos},
     Experiment{"imbalance", "use of upstreams of unequal speed", runImbalance},
+    Experiment{"edge", "the packet edge under troubles, on a model", runEdge},
     Experiment{"flows", "flows that break through changes and faults",
                runFlows},
     Experiment{"cost", "cost of a decision and of a generation", runCost},
--- /dev/null
+++ b/src/edge_model/baseline_placement.cpp
@@ -0,0 +1,80 @@
+#include "edge_model/baseline_placement.h"
+
+#include <array>
+
+namespace boragebridge::edge_model {
+
+namespace {
+
+using Candidates = std::vector<const UpstreamLifetime *>;
+
+class Baseline final : public Placement {
+public:
+  /// Returns the index of one of \p all, which is not empty.
+  using Choose = std::size_t (Baseline::*)(const Candidates &all,
+                                           TimePoint now);
+
+  Baseline(const PlacementContext &ctx, Choose f) : Ctx(ctx), Function(f) {}
+
+  auto pick(const RouteRecord &route, const UpstreamLifetime *except,
+            TimePoint now) -> Pick override {
+    const auto service =
+        route.Services[chooseService(route, Ctx.Random)].Service;
+    Candidates all;
+    for (const auto *it : Ctx.Known.upstreamsOf(service))
+      if (it != except && Ctx.Known.mayOpen(*it, now))
+        all.push_back(it);
+    if (all.empty())
+      return {};
+    const auto *chosen = all[(this->*Function)(all, now)];
+    Ctx.Loads.onWork(*chosen, now);
+    return {chosen, PickReason::Best};
+  }
+
+  auto chooseRandomly(const Candidates &all, TimePoint) -> std::size_t {
+    return Ctx.Random.below(all.size());
+  }
+  auto chooseNext(const Candidates &all, TimePoint) -> std::size_t {
+    return Turn++ % all.size();
+  }
+  auto chooseLeastOutstanding(const Candidates &all, TimePoint now)
+      -> std::size_t {
+    // From a random start, so that equal ones share the load.
+    const auto first = Ctx.Random.below(all.size());
+    auto best = first;
+    for (std::size_t i = 1; i < all.size(); ++i) {
+      const auto n = (first + i) % all.size();
+      if (Ctx.Loads.load(*all[n], now) < Ctx.Loads.load(*all[best], now))
+        best = n;
+    }
+    return best;
+  }
+
+private:
+  PlacementContext Ctx;
+  Choose Function;
+  std::size_t Turn = 0;
+};
+
+struct NamedBaseline {
+  std::string_view Name;
+  Baseline::Choose Function;
+};
+
+constexpr std::array Baselines{
+    NamedBaseline{"random", &Baseline::chooseRandomly},
+    NamedBaseline{"round_robin", &Baseline::chooseNext},
+    NamedBaseline{"least_outstanding", &Baseline::chooseLeastOutstanding},
+};
+
+} // namespace
+
+auto makeBaseline(std::string_view name, const PlacementContext &ctx)
+    -> std::unique_ptr<Placement> {
+  for (const auto &it : Baselines)
+    if (it.Name == name)
+      return std::make_unique<Baseline>(ctx, it.Function);
+  return nullptr;
+}
+
+} // namespace boragebridge::edge_model
--- /dev/null
+++ b/src/edge_model/baseline_placement.h
@@ -0,0 +1,29 @@
+/// \file
+/// Simple ways to place new flows, to compare Picker with in one run: none of
+/// them suspects an upstream or spares a cold one.
+#ifndef BORAGEBRIDGE_EDGE_MODEL_BASELINE_PLACEMENT_H
+#define BORAGEBRIDGE_EDGE_MODEL_BASELINE_PLACEMENT_H
+
+#include "edge/estimates.h"
+#include "edge/placement.h"
+
+#include <memory>
+#include <string_view>
+
+namespace boragebridge::edge_model {
+
+/// What a placement works with. Every reference outlives it.
+struct PlacementContext {
+  const Directory &Known;
+  Estimates &Loads;
+  RandomSource &Random;
+};
+
+/// The baseline called \p name: "random", "round_robin" or
+/// "least_outstanding"; null for any other name.
+auto makeBaseline(std::string_view name, const PlacementContext &ctx)
+    -> std::unique_ptr<Placement>;
+
+} // namespace boragebridge::edge_model
+
+#endif
--- /dev/null
+++ b/src/edge_model/edge_model.cpp
@@ -0,0 +1,410 @@
+#include "edge_model/edge_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragebridge::edge_model {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+static constexpr Duration ClockStep = std::chrono::microseconds(500);
+static constexpr Duration CallerDelay = milliseconds(1);
+static constexpr Duration LocalDelay = std::chrono::microseconds(100);
+static constexpr Duration RemoteDelay = std::chrono::microseconds(1400);
+static constexpr Duration CheckInterval = milliseconds(500);
+/// Missed checks that take an instance out of the rotation.
+static constexpr unsigned MissesToLeave = 2;
+static constexpr Duration HeartbeatInterval = milliseconds(1200);
+static constexpr Duration LapseTime = 3 * HeartbeatInterval;
+static constexpr Duration StoreRetry = milliseconds(200);
+
+static constexpr std::uint16_t HostPort = 8600;
+static constexpr std::uint16_t MirrorPort = 8166;
+/// First addresses of instances, upstreams and callers.
+static constexpr std::uint32_t InstanceNet = 0x0A000000;
+static constexpr std::uint32_t HostNet = 0x0A800000;
+static constexpr std::uint32_t CallerNet = 0x64400000;
+
+static auto limitsFor(std::size_t instances) -> fakes::ObjectStoreLimits {
+  // As platforms grow: slower than the fleet, from a floor for small ones.
+  constexpr double LeastReads = 2000;
+  constexpr double LeastWrites = 400;
+  constexpr double ReadsPerInstance = 68;
+  constexpr double WritesPerInstance = 14;
+  const auto n = static_cast<double>(instances);
+  return {.ReadsPerSecond = std::max(LeastReads, ReadsPerInstance * n),
+          .WritesPerSecond = std::max(LeastWrites, WritesPerInstance * n)};
+}
+
+EdgeModel::EdgeModel(const EdgeModelOptions &opt)
+    : Options(opt), Random(opt.Seed), Timer(Time, opt.Seed),
+      Store(Time, limitsFor(opt.Instances)),
+      InstanceSettings{
+          .Placement = opt.Placement,
+          .Cold = {.Factor = 1.5,
+                   .Slack = static_cast<double>(RuleLimits().ColdPerSecond)}} {
+  for (std::size_t i = 0; i < Options.DataCentres; ++i)
+    Centres.push_back(idFromName<DataCentreId>("dc-" + std::to_string(i)));
+  Configuration.Version = 1;
+  Configuration.Routes = {{"bookings", BookingsAddress, {{Bookings, 1}}},
+                          {"uploads", UploadsAddress, {{Uploads, 1}}}};
+  Configuration.Services = {{Bookings, 0}, {Uploads, 0}};
+  writeConfiguration();
+  constexpr std::array Speeds{0.6, 1.0, 1.6};
+  constexpr std::size_t UploadShare = 5;
+  for (std::size_t i = 0; i < Options.Upstreams; ++i) {
+    const auto dc = i % Options.DataCentres;
+    const auto service =
+        i % UploadShare == UploadShare - 1 ? Uploads : Bookings;
+    addUpstream(dc, service, nextAddress(dc), Speeds.at(i % Speeds.size()), {});
+  }
+  for (std::size_t i = 0; i < Options.Instances; ++i)
+    addInstance(i);
+  for (std::size_t i = 0; i < Options.DataCentres; ++i)
+    addCallers(i);
+  scheduleProbe();
+}
+
+EdgeModel::~EdgeModel() = default;
+
+auto EdgeModel::addInstance(std::size_t n) -> void {
+  const auto dc = n % Options.DataCentres;
+  MemberRecord self;
+  self.Name = "edge-" + std::to_string(n);
+  self.DataCentre = Centres[dc];
+  self.Address = {InstanceNet + static_cast<std::uint32_t>(n), MirrorPort};
+  constexpr std::array<unsigned, 3> Strengths{55, 250, 500};
+  self.Strength = Strengths.at(n % Strengths.size());
+  constexpr std::uint32_t Seeds = 3;
+  std::vector<Endpoint> seeds;
+  for (std::uint32_t i = 0; i < std::min<std::size_t>(Seeds, Options.Instances);
+       ++i)
+    if (i != n)
+      seeds.push_back({InstanceNet + i, MirrorPort});
+  const InstanceContext ctx{
+      *this,
+      Time,
+      Store,
+      Timer,
+      InstanceSettings,
+      [this](const auto &from, const auto &at) { return findPeer(from, at); },
+      [this](const auto &from, const auto &p, const auto &d) {
+        act(from, p, d);
+      }};
+  Machines.push_back(
+      {std::make_unique<ModelInstance>(ctx, self, std::move(seeds)), dc});
+  Machines.back().Instance->start();
+  scheduleTick(n);
+  scheduleCheck(n);
+}
+
+auto EdgeModel::nextAddress(std::size_t dataCentre) -> Endpoint {
+  constexpr unsigned CentreShift = 16;
+  return {HostNet + (static_cast<std::uint32_t>(dataCentre) << CentreShift) +
+              NextHost++,
+          HostPort};
+}
+
+auto EdgeModel::addUpstream(std::size_t dataCentre, ServiceId service,
+                            const Endpoint &address, double speed,
+                            Duration cold) -> std::size_t {
+  const auto n = Hosts.size();
+  UpstreamRecord r;
+  r.Name = "host-" + std::to_string(n);
+  r.WireId = n + 1;
+  r.StartedAt =
+      std::chrono::duration_cast<milliseconds>(now().time_since_epoch());
+  r.Service = service;
+  r.DataCentre = Centres[dataCentre];
+  r.Address = address;
+  r.Slots = 2;
+  auto model = std::make_shared<ModelUpstream>(*this, std::move(r),
+                                               UpstreamOptions{.Speed = speed});
+  model->setCold(cold);
+  Hosts.push_back({std::move(model), dataCentre});
+  HostAt[address] = n;
+  registerUpstream(n);
+  if (cold > Duration::zero())
+    after(cold, [this, n] { registerUpstream(n); });
+  return n;
+}
+
+auto EdgeModel::addCallers(std::size_t dataCentre) -> void {
+  // Bookings on long flows, reservations on a flow each, and uploads.
+  constexpr double LongShare = 0.7;
+  constexpr double ShortShare = 0.2;
+  constexpr double UploadShare = 0.06;
+  constexpr unsigned CallerShift = 8;
+  const auto rate = Options.RequestsPerUpstream *
+                    static_cast<double>(Options.Upstreams) /
+                    static_cast<double>(Options.DataCentres);
+  CallerOptions opt;
+  opt.DataCentre = Centres[dataCentre];
+  opt.FirstAddress =
+      CallerNet + (static_cast<std::uint32_t>(dataCentre) << CallerShift);
+  opt.Kinds = {{.Service = BookingsAddress, .PerSecond = LongShare * rate},
+               {.Service = BookingsAddress,
+                .PerSecond = ShortShare * rate,
+                .Idempotent = false,
+                .LongFlows = false,
+                .Deadline = seconds(2)},
+               {.Service = UploadsAddress,
+                .PerSecond = UploadShare * rate,
+                .Idempotent = false,
+                .LongFlows = false,
+                .Deadline = seconds(8)}};
+  Callers.push_back(std::make_unique<ModelCallers>(*this, std::move(opt)));
+  // Instances start first.
+  after(seconds(2), [it = Callers.back().get()] { it->start(); });
+}
+
+auto EdgeModel::run(Duration d) -> void {
+  const auto end = now() + d;
+  while (now() < end) {
+    Time.advance(ClockStep);
+    Timer.deliver();
+  }
+}
+
+auto EdgeModel::stopCallers() -> void {
+  for (const auto &it : Callers)
+    it->stop();
+}
+
+auto EdgeModel::setLoad(double factor) -> void {
+  for (const auto &it : Callers)
+    it->setLoad(factor);
+}
+
+auto EdgeModel::upstreams() const -> std::vector<std::size_t> {
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < Hosts.size(); ++i)
+    if (!Hosts[i].Ended)
+      all.push_back(i);
+  return all;
+}
+
+auto EdgeModel::storeCalls() const -> double {
+  double n = 0;
+  for (const auto &it : Machines)
+    n += it.Instance->storeCalls();
+  return n;
+}
+
+auto EdgeModel::after(Duration d, std::function<void()> f) -> void {
+  Timer.after(d, std::move(f));
+}
+
+auto EdgeModel::scheduleTick(std::size_t instance) -> void {
+  after(ModelInstance::TickInterval, [this, instance] {
+    Machines[instance].Instance->tick();
+    scheduleTick(instance);
+  });
+}
+
+auto EdgeModel::scheduleCheck(std::size_t instance) -> void {
+  after(CheckInterval, [this, instance] {
+    checkReady(Machines[instance]);
+    scheduleCheck(instance);
+  });
+}
+
+auto EdgeModel::checkReady(Machine &m) -> void {
+  if (m.Instance->isReady()) {
+    m.Misses = 0;
+    m.InRotation = true;
+  } else if (++m.Misses >= MissesToLeave) {
+    m.InRotation = false;
+  }
+}
+
+auto EdgeModel::chooseMachine(DataCentreId from, const FlowKey &f)
+    -> Machine * {
+  const auto first = indexOf(from);
+  for (std::size_t i = 0; i < Options.DataCentres; ++i) {
+    const auto dc = (first + i) % Options.DataCentres;
+    std::vector<Machine *> all;
+    std::vector<Machine *> ready;
+    for (auto &it : Machines) {
+      if (it.DataCentre != dc)
+        continue;
+      all.push_back(&it);
+      if (it.InRotation)
+        ready.push_back(&it);
+    }
+    if (ready.empty())
+      continue;
+    const auto &in = 2 * ready.size() < all.size() ? all : ready;
+    return in[hashFlow(f) % in.size()];
+  }
+  return nullptr;
+}
+
+auto EdgeModel::indexOf(DataCentreId d) const -> std::size_t {
+  const auto it = std::find(Centres.begin(), Centres.end(), d);
+  return static_cast<std::size_t>(it - Centres.begin());
+}
+
+auto EdgeModel::isCut(std::size_t a, std::size_t b) const -> bool {
+  return a != b && (CutCentres.contains(a) || CutCentres.contains(b));
+}
+
+auto EdgeModel::findPeer(const ModelInstance &from, const Endpoint &at)
+    -> ModelInstance * {
+  const auto n = at.Address - InstanceNet;
+  if (n >= Machines.size())
+    return nullptr;
+  auto &to = *Machines[n].Instance;
+  const auto isReached =
+      to.isRunning() && !to.isFrozen() && !to.isCutOff() && !from.isCutOff() &&
+      !isCut(indexOf(from.self().DataCentre), Machines[n].DataCentre);
+  return isReached ? &to : nullptr;
+}
+
+auto EdgeModel::sendToEdge(DataCentreId from, CallerPacket p) -> void {
+  after(CallerDelay, [this, from, p = std::move(p)] {
+    if (auto *m = chooseMachine(from, p.Header.Flow))
+      m->Instance->receive(p);
+  });
+}
+
+auto EdgeModel::sendToCaller(const Reply &r) -> void {
+  after(CallerDelay, [this, r] {
+    for (const auto &it : Callers)
+      if (it->owns(r.Flow))
+        return it->receive(r);
+  });
+}
+
+auto EdgeModel::act(const ModelInstance &from, const CallerPacket &p,
+                    const EdgeDecision &d) -> void {
+  const auto &name = from.self().Name;
+  if (d.What == EdgeAction::Reset) {
+    Judge.judgeReset(p, name, d.Why, now());
+    Reply r;
+    r.Flow = p.Header.Flow;
+    return sendToCaller(r);
+  }
+  if (d.What == EdgeAction::Drop)
+    return;
+  const auto &to = d.To->Record;
+  const auto isLocal = to.DataCentre == from.self().DataCentre;
+  if (from.isCutOff() ||
+      isCut(indexOf(from.self().DataCentre), indexOf(to.DataCentre)))
+    return;
+  if (p.Header.Opens) {
+    ++Outcome.Openings;
+    Outcome.RemoteOpenings += isLocal ? 0 : 1;
+  }
+  auto tagged = p;
+  tagged.Header.Tag = d.To->Tag;
+  after(isLocal ? LocalDelay : RemoteDelay,
+        [this, name, to = to.Address, id = to.WireId,
+         tagged = std::move(tagged)] { deliver(name, to, id, tagged); });
+}
+
+auto EdgeModel::deliver(const std::string &from, const Endpoint &to,
+                        std::uint64_t wireId, CallerPacket p) -> void {
+  const auto it = HostAt.find(to);
+  if (it == HostAt.end())
+    return;
+  const auto &host = Hosts[it->second];
+  // Only the upstream that is meant takes a packet.
+  if (host.Model->record().WireId != wireId)
+    return;
+  Sender = from;
+  host.Model->receive(p);
+}
+
+auto EdgeModel::onOpening(const ModelUpstream &u, const CallerPacket &p)
+    -> void {
+  Judge.judgeOpening(u, p, Sender, now());
+}
+
+auto EdgeModel::onPacket(const ModelUpstream &u, const CallerPacket &p,
+                         bool isHeld) -> void {
+  Judge.judgePacket(u, p, isHeld, now());
+}
+
+auto EdgeModel::onRun(Request &r) -> void {
+  ++r.Runs;
+  Judge.judgeRun(r, now());
+}
+
+auto EdgeModel::onOutcome(const Request &r, bool isServed) -> void {
+  ++Outcome.Asked;
+  if (!isServed)
+    return;
+  const auto took = now() - r.SentAt;
+  ++Outcome.Served;
+  Outcome.Late += took > Options.Aim ? 1 : 0;
+  Outcome.FirstTryServed += r.Tries == 1 ? 1 : 0;
+  Outcome.ResponseTime += took;
+}
+
+auto EdgeModel::whenStoreAnswers(std::function<void()> f) -> void {
+  if (StoreNow == StoreCondition::Answers)
+    return f();
+  after(StoreRetry, [this, f = std::move(f)] { whenStoreAnswers(f); });
+}
+
+auto EdgeModel::write(const std::string &key,
+                      std::function<std::string()> value,
+                      std::function<void()> accepted) -> void {
+  whenStoreAnswers(
+      [this, key, value = std::move(value), accepted = std::move(accepted)] {
+        if (Store.put(key, value(), Store.currentVersion(key)).ok())
+          return accepted();
+        after(StoreRetry,
+              [this, key, value, accepted] { write(key, value, accepted); });
+      });
+}
+
+auto EdgeModel::erase(const std::string &key, std::function<void()> accepted)
+    -> void {
+  whenStoreAnswers([this, key, accepted = std::move(accepted)] {
+    const auto version = Store.currentVersion(key);
+    if (version != 0 && !Store.remove(key, version).ok())
+      return after(StoreRetry, [this, key, accepted] { erase(key, accepted); });
+    if (accepted)
+      accepted();
+  });
+}
+
+auto EdgeModel::writeConfiguration() -> void {
+  write(
+      Format.configurationPrefix() + "main",
+      [this] { return formatConfiguration(Configuration); },
+      [this] { Judge.onRoutes(Configuration, now()); });
+}
+
+auto EdgeModel::registerUpstream(std::size_t upstream) -> void {
+  const auto &host = Hosts[upstream];
+  if (host.Ended || host.Model->state() != UpstreamState::Running)
+    return;
+  const auto model = host.Model;
+  const auto name = model->record().Name;
+  write(
+      Format.upstreamPrefix() + name,
+      [model] { return formatUpstream(model->record()); },
+      [this, model, name, upstream] {
+        if (model->record().Draining)
+          Judge.onDrainAccepted(name, now());
+        // It may have ended while the store was away.
+        if (Hosts[upstream].Ended)
+          erase(Format.upstreamPrefix() + name);
+      });
+}
+
+auto EdgeModel::scheduleLapse(std::size_t upstream) -> void {
+  after(LapseTime, [this, upstream] {
+    whenStoreAnswers([this, upstream] {
+      const auto &host = Hosts[upstream];
+      if (host.Ended || host.Model->state() != UpstreamState::Running)
+        erase(Format.upstreamPrefix() + host.Model->record().Name);
+    });
+  });
+}
+
+} // namespace boragebridge::edge_model
--- /dev/null
+++ b/src/edge_model/plain_records.cpp
@@ -0,0 +1,100 @@
+#include "edge_model/plain_records.h"
+
+#include "net/json_text.h"
+
+#include <stdexcept>
+
+namespace boragebridge::edge_model {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+static auto inMilliseconds(Duration d) -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+static auto endpointFrom(const json::value &v) -> Endpoint {
+  Endpoint e;
+  if (!parseEndpoint(json::value_to<std::string>(v), e))
+    throw std::invalid_argument("no address");
+  return e;
+}
+
+auto formatUpstream(const UpstreamRecord &r) -> std::string {
+  return json::serialize(json::object{{"wire_id", r.WireId},
+                                      {"started_ms", r.StartedAt.count()},
+                                      {"service", raw(r.Service)},
+                                      {"data_centre", raw(r.DataCentre)},
+                                      {"address", toString(r.Address)},
+                                      {"slots", r.Slots},
+                                      {"draining", r.Draining},
+                                      {"cold_ms", inMilliseconds(r.ColdFor)}});
+}
+
+auto PlainRecords::decodeUpstream(const StoredObject &o) const
+    -> absl::StatusOr<UpstreamRecord> {
+  return readJson(o.Value, [&](const json::value &v) {
+    UpstreamRecord r;
+    r.Name = nameInKey(o.Key, upstreamPrefix());
+    r.WireId = v.at("wire_id").to_number<std::uint64_t>();
+    r.StartedAt = milliseconds(v.at("started_ms").to_number<std::int64_t>());
+    r.Service = ServiceId{v.at("service").to_number<std::uint64_t>()};
+    r.DataCentre = DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
+    r.Address = endpointFrom(v.at("address"));
+    r.Slots = v.at("slots").to_number<unsigned>();
+    r.Draining = v.at("draining").as_bool();
+    r.ColdFor = milliseconds(v.at("cold_ms").to_number<std::int64_t>());
+    return r;
+  });
+}
+
+auto formatConfiguration(const EdgeConfiguration &c) -> std::string {
+  json::array routes;
+  for (const auto &it : c.Routes) {
+    json::array services;
+    for (const auto &part : it.Services)
+      services.push_back(json::object{{"service", raw(part.Service)},
+                                      {"weight", part.Weight}});
+    routes.push_back(json::object{{"name", it.Name},
+                                  {"address", toString(it.Address)},
+                                  {"services", std::move(services)}});
+  }
+  json::array services;
+  for (const auto &it : c.Services)
+    services.push_back(json::object{{"service", raw(it.Service)},
+                                    {"cold_per_second", it.ColdPerSecond}});
+  return json::serialize(
+      json::object{{"version", c.Version},
+                   {"idle_ms", inMilliseconds(c.IdleTimeout)},
+                   {"routes", std::move(routes)},
+                   {"services", std::move(services)}});
+}
+
+static auto routeFrom(const json::value &v) -> RouteRecord {
+  RouteRecord r;
+  r.Name = json::value_to<std::string>(v.at("name"));
+  r.Address = endpointFrom(v.at("address"));
+  for (const auto &it : v.at("services").as_array())
+    r.Services.push_back(
+        {ServiceId{it.at("service").to_number<std::uint64_t>()},
+         it.at("weight").to_number<unsigned>()});
+  return r;
+}
+
+auto PlainRecords::decodeConfiguration(const StoredObject &o) const
+    -> absl::StatusOr<EdgeConfiguration> {
+  return readJson(o.Value, [](const json::value &v) {
+    EdgeConfiguration c;
+    c.Version = v.at("version").to_number<std::uint64_t>();
+    c.IdleTimeout = milliseconds(v.at("idle_ms").to_number<std::int64_t>());
+    for (const auto &it : v.at("routes").as_array())
+      c.Routes.push_back(routeFrom(it));
+    for (const auto &it : v.at("services").as_array())
+      c.Services.push_back(
+          {ServiceId{it.at("service").to_number<std::uint64_t>()},
+           it.at("cold_per_second").to_number<double>()});
+    return c;
+  });
+}
+
+} // namespace boragebridge::edge_model
--- /dev/null
+++ b/src/edge_model/plain_records.h
@@ -0,0 +1,35 @@
+/// \file
+/// Records of the store as the model of the edge writes them: the product's
+/// own words in JSON. Stands in for the adapter of a real platform.
+#ifndef BORAGEBRIDGE_EDGE_MODEL_PLAIN_RECORDS_H
+#define BORAGEBRIDGE_EDGE_MODEL_PLAIN_RECORDS_H
+
+#include "edge/edge_adapter.h"
+
+namespace boragebridge::edge_model {
+
+/// The text of one record, without its name.
+auto formatUpstream(const UpstreamRecord &r) -> std::string;
+auto formatConfiguration(const EdgeConfiguration &c) -> std::string;
+
+/// Stateless; safe from any thread.
+class PlainRecords final : public RecordFormat {
+public:
+  auto upstreamPrefix() const -> std::string override { return "upstreams/"; }
+  auto configurationPrefix() const -> std::string override {
+    return "configurations/";
+  }
+  auto withdrawalPrefix() const -> std::string override {
+    return "withdrawals/";
+  }
+  auto memberPrefix() const -> std::string override { return "members/"; }
+
+  auto decodeUpstream(const StoredObject &o) const
+      -> absl::StatusOr<UpstreamRecord> override;
+  auto decodeConfiguration(const StoredObject &o) const
+      -> absl::StatusOr<EdgeConfiguration> override;
+};
+
+} // namespace boragebridge::edge_model
+
+#endif
--- /dev/null
+++ b/src/edge_model/rules.h
@@ -0,0 +1,126 @@
+/// \file
+/// The promises that the model checks while it runs, from what upstreams and
+/// callers see. A promise with a time bound holds for instances that have been
+/// calm for a while, and counts from the store's acknowledgement.
+#ifndef BORAGEBRIDGE_EDGE_MODEL_RULES_H
+#define BORAGEBRIDGE_EDGE_MODEL_RULES_H
+
+#include "edge/forwarder.h"
+#include "edge_model/disturbances.h"
+#include "edge_model/model_upstream.h"
+
+#include <array>
+#include <deque>
+#include <set>
+
+namespace boragebridge::edge_model {
+
+enum class Rule : std::uint8_t {
+  /// An upstream that leaves gets a new flow too late.
+  Drain,
+  /// An upstream of a withdrawn data centre gets a new flow too late.
+  Withdrawal,
+  /// A route that is there is refused, or one that was dropped is served.
+  Configuration,
+  /// A flow is opened at an upstream of another service.
+  Service,
+  /// A cold upstream gets more new flows in a second than it bears.
+  Cold,
+  /// An instance resets an open flow whose upstream lives.
+  Reset,
+  /// Packets of an open flow go to other upstreams.
+  Aside,
+  /// A request that may not be repeated ran twice.
+  Once,
+  Count,
+};
+
+auto toString(Rule r) -> std::string_view;
+
+struct RuleLimits {
+  Duration Drain = std::chrono::milliseconds(3000);
+  Duration Withdrawal = std::chrono::milliseconds(5000);
+  Duration Configuration = std::chrono::milliseconds(3000);
+  /// A part is calm when it was not disturbed for so long.
+  Duration Calm = std::chrono::milliseconds(4000);
+  /// New flows that a cold upstream bears in a second.
+  std::size_t ColdPerSecond = 5;
+  Duration Aside = std::chrono::milliseconds(2000);
+  unsigned AsidePackets = 3;
+};
+
+/// One breach, for the report.
+struct Breach {
+  Rule Broken = Rule::Count;
+  TimePoint At;
+  std::string What;
+};
+
+/// Not thread-safe.
+class Rules {
+public:
+  explicit Rules(RuleLimits limits = {}) : Limits(limits) {}
+
+  auto disturbances() -> Disturbances & { return Parts; }
+  /// Name of the store among the disturbances.
+  static auto store() -> std::string { return "store"; }
+
+  /// The store accepted these at \p now.
+  auto onDrainAccepted(const std::string &upstream, TimePoint now) -> void;
+  auto onWithdrawn(DataCentreId d, bool withdrawn, TimePoint now) -> void;
+  auto onRoutes(const EdgeConfiguration &c, TimePoint now) -> void;
+
+  /// \p u took the opening packet of a flow that \p instance sent on.
+  auto judgeOpening(const ModelUpstream &u, const CallerPacket &p,
+                    const std::string &instance, TimePoint now) -> void;
+  /// \p instance reset the flow of \p p for \p why.
+  auto judgeReset(const CallerPacket &p, const std::string &instance,
+                  EdgeReason why, TimePoint now) -> void;
+  /// \p u got a later packet of a flow; \p isHeld: it holds that flow.
+  auto judgePacket(const ModelUpstream &u, const CallerPacket &p, bool isHeld,
+                   TimePoint now) -> void;
+  auto judgeRun(const Request &r, TimePoint now) -> void;
+
+  auto count(Rule r) const -> std::uint64_t {
+    return Counts.at(static_cast<std::size_t>(r));
+  }
+  auto total() const -> std::uint64_t;
+  /// The first breaches, at most MaxBreaches.
+  auto breaches() const -> const std::vector<Breach> & { return Found; }
+
+private:
+  static constexpr std::size_t MaxBreaches = 20;
+  /// Who holds an open flow, and its packets that went elsewhere since.
+  struct OpenFlow {
+    const ModelUpstream *Owner = nullptr;
+    unsigned Astray = 0;
+    TimePoint FirstAstray;
+  };
+  struct Route {
+    ServiceId Service{};
+    std::optional<TimePoint> Added;
+    std::optional<TimePoint> Removed;
+  };
+
+  auto isInTouch(const std::string &instance, TimePoint now) const -> bool;
+  /// Whether \p since lies further back than \p limit, seen by an instance in
+  /// touch.
+  auto isOverdue(const std::optional<TimePoint> &since, Duration limit,
+                 const std::string &instance, TimePoint now) const -> bool;
+  auto judgeCold(const ModelUpstream &u, TimePoint now) -> void;
+  auto fail(Rule r, std::string what, TimePoint now) -> void;
+
+  RuleLimits Limits;
+  Disturbances Parts;
+  std::map<std::string, TimePoint> Draining;
+  std::map<DataCentreId, TimePoint> Withdrawn;
+  std::unordered_map<Endpoint, Route> Routes;
+  std::unordered_map<FlowKey, OpenFlow> Open;
+  std::map<std::string, std::deque<TimePoint>> ColdOpenings;
+  std::array<std::uint64_t, static_cast<std::size_t>(Rule::Count)> Counts{};
+  std::vector<Breach> Found;
+};
+
+} // namespace boragebridge::edge_model
+
+#endif
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -13,7 +13,11 @@
 auto FakePlatform::later(std::function<void()> f) -> void {
   Timer.after(Faults.Delay,
               [this, alive = std::weak_ptr<bool>(Alive), f = std::move(f)] {
-                if (!alive.expired() && !Faults.CutOff.contains(DataCentre))
+                if (alive.expired() || Faults.CutOff.contains(DataCentre))
+                  return;
+                if (Faults.Held.contains(DataCentre))
+                  later(f);
+                else
                   f();
               });
 }
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -25,6 +25,9 @@
   bool SilentWatches = false;
   /// Calls from these data centres vanish.
   std::set<DataCentreId> CutOff;
+  /// Calls from these data centres wait until they are taken out again, as do
+  /// their answers: what a connection does through a short cut.
+  std::set<DataCentreId> Held;
   /// Instances that are paused; their answers wait until they resume.
   std::set<InstanceId> Paused;
 };
--- a/src/fakes/object_store.cpp
+++ b/src/fakes/object_store.cpp
@@ -1,6 +1,7 @@
 #include "fakes/object_store.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragebridge::fakes {
 
@@ -111,6 +112,10 @@
     done(s);
     return id;
   }
+  if (after < Oldest) {
+    done(absl::OutOfRangeError("the history begins later"));
+    return id;
+  }
   auto changes = changesAfter(prefix, after);
   if (!changes.Events.empty()) {
     done(std::move(changes));
@@ -146,6 +151,13 @@
     it(ObjectList{{}, LastVersion});
 }
 
+auto ObjectStore::forgetHistory() -> void {
+  Oldest = LastVersion;
+  Removals.clear();
+  for (const auto &[id, it] : std::exchange(Watches, {}))
+    it.Done(absl::UnavailableError("the watch was cut off"));
+}
+
 auto ObjectStore::currentVersion(const std::string &key) const
     -> ObjectVersion {
   const auto *it = peek(key);
--- a/src/fakes/object_store.h
+++ b/src/fakes/object_store.h
@@ -59,10 +59,16 @@
   /// Ends the watches whose time is over; call it at least every 10 ms.
   auto poll() -> void;
 
+  /// Drops the history, as a store may: watches from before now are OutOfRange,
+  /// and those that wait are cut off.
+  auto forgetHistory() -> void;
+
   /// Version of object \p key, 0 when there is none; not counted as a call.
   auto currentVersion(const std::string &key) const -> ObjectVersion;
   /// The object \p key or null; not counted as a call.
   auto peek(const std::string &key) const -> const StoredObject *;
+  /// The counter of writes; not counted as a call.
+  auto version() const -> ObjectVersion { return LastVersion; }
   auto calls() const -> const ObjectStoreCalls & { return Calls; }
   auto openWatches() const -> std::size_t { return Watches.size(); }
 
@@ -96,6 +102,8 @@
   std::deque<Removal> Removals;
   std::map<WatchId, Watch> Watches;
   ObjectVersion LastVersion = 0;
+  /// Watches from before this version are OutOfRange.
+  ObjectVersion Oldest = 0;
   WatchId LastWatch = 0;
   Bucket Reads;
   Bucket Writes;
--- /dev/null
+++ b/test/edge_model/edge_model_test.cpp
@@ -0,0 +1,99 @@
+#include "edge_model/edge_model.h"
+#include "edge_model/troubles.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace boragebridge::edge_model {
+
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration Before = seconds(5);
+constexpr Duration After = seconds(12);
+
+/// Plays \p all after a calm start and reports every breach as an error.
+auto expectAllRulesKept(const EdgeModelOptions &opt,
+                        const std::vector<PlannedTrouble> &all, Duration length)
+    -> void {
+  EdgeModel model(opt);
+  model.run(Before);
+  planTroubles(model, all);
+  model.run(length + After);
+  for (const auto &it : model.rules().breaches())
+    BOOST_ERROR("seed " << opt.Seed << ": " << toString(it.Broken) << ": "
+                        << it.What);
+  BOOST_TEST(model.outcome().Asked > 0U);
+}
+
+auto expectMixKept(std::uint64_t seed, std::size_t troubles) -> void {
+  constexpr Duration Length = seconds(25);
+  expectAllRulesKept({.Seed = seed}, drawTroubles(seed, troubles, Length),
+                     Length);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EdgeModelRuns)
+
+BOOST_AUTO_TEST_CASE(CalmInstallationServesEveryRequest) {
+  EdgeModel model({.Seed = 3});
+  model.run(seconds(12));
+  model.stopCallers();
+  model.run(seconds(8));
+  const auto &o = model.outcome();
+  BOOST_TEST(o.Asked > 1000U);
+  BOOST_TEST(o.Served == o.Asked);
+  BOOST_TEST(model.rules().total() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(OneSeedGivesOneRun) {
+  const auto play = [] {
+    EdgeModel model({.Seed = 4});
+    planTroubles(model, drawTroubles(4, 4, seconds(5)));
+    model.run(seconds(8));
+    return std::pair(model.outcome().Served, model.outcome().ResponseTime);
+  };
+  BOOST_TEST((play() == play()));
+}
+
+BOOST_AUTO_TEST_CASE(EachKindOfTroubleAloneKeepsEveryRule) {
+  for (const auto &it : allTroubles())
+    BOOST_TEST_CONTEXT(it.Name) {
+      constexpr Duration Length = seconds(6);
+      expectAllRulesKept({.Seed = 11}, drawTroubles(11, 2, Length, &it),
+                         Length);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(MixedTroublesKeepEveryRule) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    expectMixKept(seed, 8);
+}
+
+// A store that was silent for a second lost the watches that waited.
+BOOST_AUTO_TEST_CASE(WatchLostInAShortSilenceBreaksNoBound) {
+  expectMixKept(1104, 10);
+  expectMixKept(1235, 10);
+}
+
+BOOST_AUTO_TEST_CASE(OneDataCentreAndOneInstanceAreEnough) {
+  constexpr Duration Length = seconds(6);
+  expectAllRulesKept(
+      {.Seed = 5, .Instances = 1, .DataCentres = 1, .Upstreams = 5},
+      drawTroubles(5, 3, Length), Length);
+}
+
+// The model must see a fault that is put in on purpose: a placement that does
+// not spare cold upstreams.
+BOOST_AUTO_TEST_CASE(PlacementThatIgnoresColdUpstreamsBreaksTheirRule) {
+  EdgeModel model({.Seed = 6, .Placement = "random"});
+  model.run(Before);
+  model.returnCold(0);
+  model.run(seconds(8));
+  BOOST_TEST(model.rules().count(Rule::Cold) > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragebridge::edge_model
