Count copies of an opening against the share of a cold upstream

Cause: an instance opened its one flow in a cut, the copy of it arrived 600 ms later, and the instance's next flow 1.3 s after the first was sent, within a second of the copy. The share counted from the first copy.

Change: each copy that is sent to a cold upstream uses the share again.

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -72,6 +72,7 @@
     e.SeenAt = now;
     e.Unanswered = false;
     awaitAnswer(e, now);
+    Chooser.onRepeated(*first, now);
     return {EdgeAction::Forward, EdgeReason::OpenedAgain, first};
   }
   const auto pick = Chooser.pick(route, first, now);
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -66,8 +66,12 @@
   Loads.onWork(*p.Chosen, now);
   if (Loads.hasStrikes(*p.Chosen))
     Loads.onTrial(*p.Chosen, now);
-  if (p.Reason == PickReason::Cold)
-    Cold.onOpened(*p.Chosen, now);
+  onRepeated(*p.Chosen, now);
+}
+
+auto Picker::onRepeated(const UpstreamLifetime &u, TimePoint now) -> void {
+  if (Known.isCold(u, now))
+    Cold.onOpened(u, now);
 }
 
 } // namespace boragebridge
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -39,6 +39,8 @@
   /// Notes the choice as work, trial or use of the cold share.
   auto pick(const RouteRecord &route, const UpstreamLifetime *except,
             TimePoint now) -> Pick override;
+  /// The copy may arrive alone, so it counts against the cold share as well.
+  auto onRepeated(const UpstreamLifetime &u, TimePoint now) -> void override;
 
 private:
   auto pickOf(ServiceId service, const UpstreamLifetime *except, TimePoint now)
--- a/src/edge/placement.h
+++ b/src/edge/placement.h
@@ -36,6 +36,8 @@
   /// is left. The choice counts as made.
   virtual auto pick(const RouteRecord &route, const UpstreamLifetime *except,
                     TimePoint now) -> Pick = 0;
+  /// A copy of the opening packet of a flow goes to \p u, chosen before.
+  virtual auto onRepeated(const UpstreamLifetime &u, TimePoint now) -> void = 0;
 };
 
 } // namespace boragebridge
--- a/src/edge_model/baseline_placement.cpp
+++ b/src/edge_model/baseline_placement.cpp
@@ -31,6 +31,8 @@
     return {chosen, PickReason::Best};
   }
 
+  auto onRepeated(const UpstreamLifetime &, TimePoint) -> void override {}
+
   auto chooseRandomly(const Candidates &all, TimePoint) -> std::size_t {
     return Ctx.Random.below(all.size());
   }
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -57,6 +57,22 @@
   BOOST_TEST(second.To->Record.Name == first.To->Record.Name);
 }
 
+// boragebench edge, seed 40419: the first copy was lost in a cut; the second
+// one and the instance's next flow reached a cold upstream within a second.
+BOOST_AUTO_TEST_CASE(CopyOfAnOpeningUsesTheShareOfAColdUpstreamAgain) {
+  auto cold = record("i-1", 1);
+  cold.ColdFor = seconds(60);
+  start({cold});
+  BOOST_TEST(openedTo() == "i-1");
+  Time.advance(milliseconds(600));
+  BOOST_TEST(
+      (Decide.decide(opening(20'000, 2), now()).What == EdgeAction::Forward));
+  Time.advance(milliseconds(800));
+  BOOST_TEST(openedTo().empty());
+  Time.advance(milliseconds(600));
+  BOOST_TEST(openedTo() == "i-1");
+}
+
 BOOST_AUTO_TEST_CASE(UnansweredOpeningTurnsOthersAwayWithinTensOfMilliseconds) {
   start({record("i-1", 1), record("i-2", 2)});
   const auto silent = Decide.decide(opening(1), now()).To->Record.Name;
