Remove the records of instances that are gone; take one offer of views at a time

Members were never taken off the record. The root of each data centre now checks its members one after the other; one that answered nothing for 15 minutes and three checks loses its record. It registers again if it lives; an instance that has not seen the members for 10 minutes opens nothing to cold upstreams, so that two never hold one share.

An instance that started while the store was away read the whole lists of each instance that offered them. It takes one offer in 700 ms, asks only for what it does not know, and gives the lists 1.5 s.

--- a/src/edge/cold_share.cpp
+++ b/src/edge/cold_share.cpp
@@ -33,7 +33,9 @@
 auto ColdShare::mayOpen(const UpstreamLifetime &u, double perSecond,
                         TimePoint now) const -> bool {
   const auto limit = perSecond * Options.Factor + Options.Slack;
-  if (!IsMember || now < NotBefore || limit <= 0)
+  const auto isLeaseOver =
+      ConfirmedAt && now - *ConfirmedAt > Options.MemberLease;
+  if (!IsMember || isLeaseOver || now < NotBefore || limit <= 0)
     return false;
   // Below one a second a single instance may open, less often.
   const auto openers = std::max(1.0, std::floor(limit));
--- a/src/edge/cold_share.h
+++ b/src/edge/cold_share.h
@@ -24,6 +24,9 @@
   /// Over a second, since two flows may reach the upstream closer together
   /// than they were sent.
   Duration MinInterval = std::chrono::milliseconds(1300);
+  /// An instance that has not seen for so long whether it is on record opens
+  /// nothing: another may have its share by now.
+  Duration MemberLease = std::chrono::minutes(10);
 };
 
 class ColdShare {
@@ -35,6 +38,10 @@
   auto setOptions(const ColdShareOptions &opt) -> void { Options = opt; }
   /// All instances that ever registered.
   auto setMembers(const std::vector<std::string> &names) -> void;
+  /// The members were known to be as told at \p t.
+  auto confirmMembers(TimePoint t) -> void {
+    ConfirmedAt = std::max(ConfirmedAt.value_or(t), t);
+  }
   /// This instance opens nothing to cold upstreams before \p t.
   auto waitUntil(TimePoint t) -> void { NotBefore = t; }
   /// Whether this instance may open a flow to cold \p u, of a service whose
@@ -51,6 +58,8 @@
   std::uint64_t Self;
   std::vector<std::uint64_t> Others;
   bool IsMember = false;
+  /// Unset: nobody has told.
+  std::optional<TimePoint> ConfirmedAt;
   TimePoint NotBefore;
   std::unordered_map<std::uint32_t, TimePoint> LastOpened;
 };
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -31,6 +31,8 @@
 constexpr auto StoreTimeout = std::chrono::milliseconds(1500);
 constexpr auto WatchGrace = std::chrono::milliseconds(1000);
 constexpr auto PollTimeout = std::chrono::milliseconds(700);
+/// The lists may be long, the links narrow, and nobody else answers.
+constexpr auto AdoptionTimeout = std::chrono::milliseconds(1500);
 constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
 /// Where an instance offers its mirror; the body is the mirror's address.
 constexpr auto SeedPath = "/v1/seed";
@@ -185,9 +187,11 @@
 auto EdgeServer::connectTo(const Endpoint &mirror, MirrorView view)
     -> std::unique_ptr<PlatformClient> {
   HttpPlatformSettings settings{.Address = mirror};
-  if (view == MirrorView::Any)
-    settings.Dialect = std::make_shared<UnconfirmedDialect>();
   settings.Timeout = MirrorTimeout;
+  if (view == MirrorView::Any) {
+    settings.Dialect = std::make_shared<UnconfirmedDialect>();
+    settings.Timeout = AdoptionTimeout;
+  }
   settings.WatchGrace = MirrorTimeout;
   return std::make_unique<HttpPlatform>(Io, std::move(settings));
 }
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -35,13 +35,17 @@
                {format.withdrawalPrefix(), &Withdrawals},
                {format.memberPrefix(), &MemberWatch}},
       Guard(time, log, Options.Poll,
-            {&Upstreams, &Configurations, &Withdrawals, &MemberWatch}) {
+            {&Upstreams, &Configurations, &Withdrawals, &MemberWatch}),
+      Expiry(Options.Self.Name, Options.Self.DataCentre) {
   Cold.waitUntil(Time.now() + Options.RestartWait);
 }
 
 auto EdgeViews::makeOptions(const std::string &prefix) const -> WatcherOptions {
-  return {
-      .Prefix = prefix, .Wait = Options.WatchWait, .Gather = Options.Gather};
+  const auto isConfiguration = prefix == Format.configurationPrefix();
+  return {.Prefix = prefix,
+          .Wait = Options.WatchWait,
+          .Gather =
+              isConfiguration ? Options.ConfigurationGather : Options.Gather};
 }
 
 auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
@@ -73,10 +77,12 @@
     Relay.setParent(Tree.parent(now));
   for (const auto &it : Watchers)
     it.second->tick(now);
-  // Others rely on the views of an instance that reads the store itself.
-  if (isComplete() && !Relay.hasParent())
+  if (isComplete() && Relay.readsStore())
     Guard.tick(now);
+  if (isComplete() && !Relay.hasParent())
+    checkMember(now);
   Mirror.tick(now);
+  Cold.confirmMembers(MemberWatch.confirmedAt());
   registerSelf(now);
 }
 
@@ -99,15 +105,18 @@
 }
 
 auto EdgeViews::onSeedOffered(const Endpoint &address) -> void {
-  if (!isComplete())
+  if (!isComplete() && Time.now() >= NextAdoption)
     adoptFrom(address);
 }
 
 auto EdgeViews::adoptFrom(const Endpoint &address) -> void {
+  NextAdoption = Time.now() + Options.AdoptionPause;
   auto &client = *SeedClients.emplace_back(Relay.connect(address));
   for (const auto &it : Watchers) {
     const auto &prefix = it.first;
     auto *watcher = it.second;
+    if (watcher->isKnown())
+      continue;
     client.list(prefix, [this, prefix, watcher, address,
                          alive = std::weak_ptr<bool>(Alive)](
                             const absl::StatusOr<ObjectList> &r) {
@@ -252,6 +261,7 @@
 
 auto EdgeViews::onMemberList(const ObjectList &l) -> void {
   Members.clear();
+  MemberVersions.clear();
   OwnVersion = 0;
   onMemberEvents(l);
 }
@@ -262,6 +272,7 @@
     if (name == Options.Self.Name)
       OwnVersion = it.Removed ? 0 : it.Object.Version;
     auto member = parseMember(name, it.Object.Value);
+    MemberVersions[name] = it.Object.Version;
     if (it.Removed)
       Members.erase(name);
     else if (member.ok())
@@ -276,7 +287,44 @@
     records.push_back(it);
   }
   Cold.setMembers(names);
+  Cold.confirmMembers(Time.now());
   Tree.setMembers(records);
+  Expiry.setMembers(records);
+}
+
+auto EdgeViews::checkMember(TimePoint now) -> void {
+  // While the store is away a member that is silent may only be cut off too.
+  if (!isStoreReachable())
+    return;
+  const auto *member = Expiry.nextToCheck(now);
+  if (member == nullptr)
+    return;
+  CheckClient = Relay.connect(member->Address);
+  CheckClient->watch(
+      Format.memberPrefix(), MemberWatch.version(), Duration::zero(),
+      [this, m = *member, alive = std::weak_ptr<bool>(Alive)](const auto &r) {
+        if (!alive.expired())
+          onMemberChecked(m, r.ok() || absl::IsFailedPrecondition(r.status()) ||
+                                 absl::IsOutOfRange(r.status()));
+      });
+}
+
+auto EdgeViews::onMemberChecked(const MemberRecord &m, bool answered) -> void {
+  const auto version = MemberVersions.find(m.Name);
+  if (!Expiry.onChecked(m.Name, answered, Time.now()) ||
+      version == MemberVersions.end())
+    return;
+  Relay.remove(
+      Format.memberPrefix() + m.Name, version->second,
+      [this, name = m.Name, alive = std::weak_ptr<bool>(Alive)](
+          const absl::StatusOr<ObjectVersion> &r) {
+        if (alive.expired())
+          return;
+        Log.write(
+            events::MemberExpired,
+            {{"member", name},
+             {"result", r.ok() ? "ok" : std::string(r.status().message())}});
+      });
 }
 
 auto EdgeViews::registerSelf(TimePoint now) -> void {
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -11,6 +11,7 @@
 
 #include "edge/cold_share.h"
 #include "edge/edge_adapter.h"
+#include "edge/member_expiry.h"
 #include "edge/relay_tree.h"
 #include "store/object_mirror.h"
 #include "store/object_watcher.h"
@@ -24,9 +25,14 @@
   MemberRecord Self;
   /// Mirrors to ask after a start while the store does not answer.
   std::vector<Endpoint> Seeds = {};
-  /// How long the store may hold a watch open.
-  Duration WatchWait = std::chrono::seconds(5);
+  /// How long the store may hold a watch open. WatchGuard finds one that is
+  /// dead sooner.
+  Duration WatchWait = std::chrono::seconds(15);
+  /// After events, so long passes before the next watch of the same prefix.
   Duration Gather = std::chrono::milliseconds(250);
+  /// The same for configurations: they are long, and each reader of this
+  /// instance's mirror takes each that it reads.
+  Duration ConfigurationGather = std::chrono::milliseconds(500);
   /// Between two attempts to register.
   Duration RegisterPause = std::chrono::seconds(3);
   /// Between two seeds that are asked after a start, the store coming first:
@@ -36,6 +42,9 @@
   /// Checks on watches, while this instance reads the store directly. Empty:
   /// they are not checked.
   WatchGuard::Poll Poll = {};
+  /// After the lists of one mirror were asked for, offers of others are passed
+  /// over for so long: each may be long.
+  Duration AdoptionPause = std::chrono::milliseconds(700);
   /// Between two rounds of offers.
   Duration OfferPause = std::chrono::milliseconds(400);
   /// A new instance opens no flow to a cold upstream for so long after it
@@ -105,6 +114,9 @@
   auto adoptFrom(const Endpoint &address) -> void;
   auto isStoreReachable() const -> bool;
   auto registerSelf(TimePoint now) -> void;
+  /// Checks on the next member of the data centre, if it is time.
+  auto checkMember(TimePoint now) -> void;
+  auto onMemberChecked(const MemberRecord &m, bool answered) -> void;
 
   const Clock &Time;
   EventLog &Log;
@@ -124,11 +136,17 @@
   /// All four, by prefix.
   const std::map<std::string, ObjectWatcher *> Watchers;
   WatchGuard Guard;
+  /// Versions of the records, by member.
+  std::map<std::string, ObjectVersion> MemberVersions;
+  MemberExpiry Expiry;
+  /// Of the member that is checked now.
+  std::unique_ptr<PlatformClient> CheckClient;
   /// Version of this instance's own record; 0 when there is none.
   ObjectVersion OwnVersion = 0;
   bool Registering = false;
   TimePoint NextRegister;
   TimePoint NextSeed;
+  TimePoint NextAdoption;
   std::size_t Seed = 0;
   TimePoint NextOffer;
   /// Of the mirrors that were asked for their views; dropped with their calls
--- a/test/edge/cold_share_test.cpp
+++ b/test/edge/cold_share_test.cpp
@@ -83,6 +83,18 @@
   BOOST_TEST(!share.mayOpen(upstream(), NoRate, now()));
 }
 
+BOOST_AUTO_TEST_CASE(InstanceThatDoesNotSeeTheMembersForLongOpensNothing) {
+  ColdShare share("a", {.Factor = 1, .Slack = 5});
+  share.setMembers({"a"});
+  const TimePoint start{std::chrono::hours(1)};
+  share.confirmMembers(start);
+  BOOST_TEST(share.mayOpen(UpstreamLifetime{}, 0, start));
+  const auto later = start + std::chrono::minutes(11);
+  BOOST_TEST(!share.mayOpen(UpstreamLifetime{}, 0, later));
+  share.confirmMembers(later);
+  BOOST_TEST(share.mayOpen(UpstreamLifetime{}, 0, later));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -186,6 +186,32 @@
   BOOST_TEST(Known.size() == 0U);
 }
 
+// sweep of cenacolo-bridge-grown: an instance that started while the store was
+// away read the lists of each of dozens of instances that offered theirs.
+BOOST_AUTO_TEST_CASE(OfferIsPassedOverWhileAnotherIsTaken) {
+  std::vector<ScriptedStore *> mirrors;
+  RelayedPlatform relay(
+      Store, Time,
+      [&](const Endpoint &, MirrorView) {
+        auto client = std::make_unique<ScriptedStore>();
+        mirrors.push_back(client.get());
+        return client;
+      },
+      [](const auto &, const auto &) {});
+  EdgeViews views(Time, Random, Log, relay, Format, Known, Cold,
+                  {.Self = Self});
+  views.tick(Time.now());
+  for (std::uint32_t i = 2; i < 30; ++i)
+    views.onSeedOffered({0x0A000000 + i, 8166});
+  BOOST_TEST_REQUIRE(mirrors.size() == 1U);
+  mirrors[0]->answer("servers/", ObjectList{{}, 9});
+  Time.advance(milliseconds(700));
+  views.onSeedOffered({0x0A000002, 8166});
+  BOOST_TEST_REQUIRE(mirrors.size() == 2U);
+  // What is known is not asked for again.
+  BOOST_TEST(mirrors[1]->Open.size() == 3U);
+}
+
 // sweep of cenacolo-bridge-grown: with 3,000 upstreams each start read the
 // lists of seeds in other data centres, as the store took over 400 ms.
 BOOST_AUTO_TEST_CASE(SeedsAreAskedWhenTheStoreRefusesOrStaysSilent) {
@@ -252,6 +278,45 @@
     BOOST_TEST(!views.mirror().list(it).ok(), it);
 }
 
+// Without it the records of replaced instances pile up, and cold upstreams get
+// flows of nobody in the end.
+BOOST_AUTO_TEST_CASE(RecordOfAnInstanceThatIsGoneForGoodIsRemoved) {
+  std::vector<ScriptedStore *> peers;
+  RelayedPlatform relay(
+      Store, Time,
+      [&](const Endpoint &, MirrorView) {
+        auto client = std::make_unique<ScriptedStore>();
+        peers.push_back(client.get());
+        return client;
+      },
+      [](const auto &, const auto &) {});
+  EdgeViews views(Time, Random, Log, relay, Format, Known, Cold,
+                  {.Self = Self});
+  views.tick(Time.now());
+  Store.answer("config/",
+               ObjectList{{{{"config/main", Configuration, 3}, false}}, 9});
+  for (const auto *it : {"servers/", "evacuations/"})
+    Store.answer(it, ObjectList{{}, 9});
+  auto weaker = Self;
+  weaker.Name = "b";
+  weaker.Strength = 1;
+  weaker.Address.Address += 1;
+  Store.answer("instances/",
+               ObjectList{{{{"instances/a", formatMember(Self), 7}, false},
+                           {{"instances/b", formatMember(weaker), 8}, false}},
+                          9});
+  for (int i = 0; i < 3; ++i) {
+    views.tick(Time.now());
+    BOOST_TEST_REQUIRE(peers.size() == static_cast<std::size_t>(i + 1));
+    BOOST_TEST(Store.Removed.empty());
+    peers.back()->answer("instances/", absl::UnavailableError("gone"));
+    Time.advance(std::chrono::minutes(8));
+  }
+  BOOST_TEST_REQUIRE(Store.Removed.size() == 1U);
+  BOOST_TEST(Store.Removed.front().first == "instances/b");
+  BOOST_TEST(Store.Removed.front().second == 8U);
+}
+
 BOOST_AUTO_TEST_CASE(ReaderOfAParentDoesNotPollTheStore) {
   auto polls = 0;
   EdgeViews views(
