--- a/bench/imbalance.cpp
+++ b/bench/imbalance.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <numeric>
 
 namespace boragebridge::bench {
 
@@ -18,13 +19,15 @@
 struct Window {
   double MaxOverMean = 0;
   double P99OverMean = 0;
+  /// Of each host over the mean, in the hosts' order.
+  std::vector<double> OverMean;
 };
 
 /// Hosts of speeds 1:8, some with reports that lag, lie or go missing, and
 /// eight instances in one data centre.
 class Imbalance {
 public:
-  explicit Imbalance(std::uint64_t seed) : World(makeTopology(seed)) {
+  Imbalance(std::uint64_t seed, double rate) : World(makeTopology(seed)) {
     constexpr std::array<std::uint32_t, 4> Speeds{25, 50, 100, 200};
     const auto names = World.hostNames();
     for (std::size_t n = 0; n < names.size(); ++n) {
@@ -32,7 +35,7 @@
       host.setSpeed(Speeds.at(n % Speeds.size()));
       host.setFaults(reportFaults(n));
     }
-    World.setLoad({Requests, 0, 0});
+    World.setLoad({rate, 0, 0});
     World.settle();
   }
 
@@ -49,24 +52,34 @@
       use.push_back(std::chrono::duration<double>(work).count() /
                     host.options().SpeedPercent);
     }
-    std::sort(use.begin(), use.end());
-    double sum = 0;
-    for (auto v : use)
-      sum += v;
-    const auto mean = sum / static_cast<double>(use.size());
+    const auto mean = std::accumulate(use.begin(), use.end(), 0.0) /
+                      static_cast<double>(use.size());
+    for (auto &it : use)
+      it /= mean;
+    auto sorted = use;
+    std::sort(sorted.begin(), sorted.end());
     const auto rank =
         static_cast<std::size_t>(0.99 * static_cast<double>(use.size() - 1));
-    return {use.back() / mean, use[rank] / mean};
+    return {sorted.back(), sorted[rank], use};
   }
 
+  /// Speed and faults of each host beside its use in \p windows.
+  auto printHosts(const std::vector<Window> &windows) -> void {
+    const auto names = World.hostNames();
+    for (std::size_t n = 0; n < names.size(); ++n) {
+      const auto &host = World.host(names[n]);
+      std::cout << names[n] << " speed " << host.options().SpeedPercent
+                << " faults " << n % 5 << ':';
+      for (const auto &it : windows)
+        std::cout << ' ' << it.OverMean[n];
+      std::cout << '\n';
+    }
+  }
   auto turnCold() -> void {
     World.host(World.hostNames().front()).turnCold(World.now());
   }
   auto world() -> SystemWorld & { return World; }
 
-  /// Requests a second: about three quarters of what the hosts bear.
-  static constexpr double Requests = 400;
-
 private:
   static auto makeTopology(std::uint64_t seed) -> scenario::Topology {
     scenario::Topology t;
@@ -99,24 +112,29 @@
                            "Use of upstreams by their own speed.");
   options.add_options()("seed", "seed of the run",
                         cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "help", "this text");
+      "rate", "requests a second; 400 are three quarters of what hosts bear",
+      cxxopts::value<double>()->default_value("400"))(
+      "hosts", "print the use of each host")("help", "this text");
   const auto args = options.parse(argc, argv);
   if (args.count("help") != 0) {
     std::cout << options.help();
     return 0;
   }
   const auto seed = args["seed"].as<std::uint64_t>();
-  Imbalance bench(seed);
+  Imbalance bench(seed, args["rate"].as<double>());
   boost::json::array overTime;
-  Window last;
+  std::vector<Window> windows;
   for (auto n = 0; n < Windows; ++n) {
     if (n == Windows / 2)
       bench.turnCold();
-    last = bench.run(WindowTime);
-    std::cout << "window " << n << ": max/mean " << last.MaxOverMean
+    windows.push_back(bench.run(WindowTime));
+    std::cout << "window " << n << ": max/mean " << windows.back().MaxOverMean
               << std::endl;
-    overTime.push_back(last.MaxOverMean);
+    overTime.push_back(windows.back().MaxOverMean);
   }
+  if (args.count("hosts") != 0)
+    bench.printHosts(windows);
+  const auto &last = windows.back();
   auto &world = bench.world();
   const auto report = world.requests().report();
   const auto falls = world.hostSum(&fakes::UpstreamCounts::Falls);
