Give a slow store's watches more time before they count as lost

Cause: the store took hundreds of milliseconds to answer; after a pause of 250 to 500 ms for gathering, the next watch told later than the poll after.

Change: a watch is lost when it has not told for 1 s and three of the poll's round trips.

--- a/src/store/watch_guard.cpp
+++ b/src/store/watch_guard.cpp
@@ -23,7 +23,7 @@
   if (!Ask || Polling || now < NextPoll)
     return;
   NextPoll = now + Options.Interval;
-  endLostWatch();
+  endLostWatch(now);
   auto *watcher = nextReachable();
   if (watcher == nullptr)
     return;
@@ -39,11 +39,13 @@
                         const absl::StatusOr<ObjectList> &r) -> void {
   Polling = false;
   if (r.ok()) {
-    if (r->Events.empty())
+    if (r->Events.empty() || Behind != nullptr)
       return;
-    // The watch may be about to tell; the next poll sees whether it did.
+    constexpr int RoundTrips = 3;
+    const auto now = Time.now();
     Behind = &watcher;
     BehindAt = watcher.version();
+    BehindUntil = now + Options.LostAfter + RoundTrips * (now - asked);
     return;
   }
   // History that is gone is an answer as well.
@@ -54,10 +56,15 @@
       abandon(*it, r.status());
 }
 
-auto WatchGuard::endLostWatch() -> void {
-  auto *watcher = std::exchange(Behind, nullptr);
-  if (watcher != nullptr && watcher->version() == BehindAt)
-    abandon(*watcher, absl::DataLossError("a watch did not tell of changes"));
+auto WatchGuard::endLostWatch(TimePoint now) -> void {
+  if (Behind == nullptr)
+    return;
+  const auto hasTold = Behind->version() != BehindAt;
+  if (!hasTold && now < BehindUntil)
+    return;
+  auto &watcher = *std::exchange(Behind, nullptr);
+  if (!hasTold)
+    abandon(watcher, absl::DataLossError("a watch did not tell of changes"));
 }
 
 auto WatchGuard::abandon(ObjectWatcher &watcher, const absl::Status &why)
--- a/src/store/watch_guard.h
+++ b/src/store/watch_guard.h
@@ -5,7 +5,7 @@
 /// apart. A watch that is found dead is given up, and its watcher goes on.
 ///
 /// Worst case, with n watchers: a silent store is found after Interval and the
-/// poll's own limit, a lost watch after (n + 1) times Interval.
+/// poll's own limit, a lost watch after n times Interval and LostAfter.
 ///
 /// Example:
 /// \code
@@ -24,6 +24,10 @@
 struct WatchGuardOptions {
   /// Between two polls.
   Duration Interval = std::chrono::milliseconds(500);
+  /// A watch that did not tell for so long what a poll told is lost. Longer by
+  /// a few of the poll's own round trips: a slow store answers watches late as
+  /// well. Above the pause that a watcher makes after events.
+  Duration LostAfter = std::chrono::milliseconds(1000);
 };
 
 class WatchGuard {
@@ -50,7 +54,7 @@
   auto onPoll(ObjectWatcher &watcher, TimePoint asked,
               const absl::StatusOr<ObjectList> &r) -> void;
   /// Ends the watch that a poll found behind, unless it has caught up.
-  auto endLostWatch() -> void;
+  auto endLostWatch(TimePoint now) -> void;
   auto abandon(ObjectWatcher &watcher, const absl::Status &why) -> void;
   /// The next watcher in turn that has not failed, or null.
   auto nextReachable() -> ObjectWatcher *;
@@ -64,9 +68,11 @@
   bool Polling = false;
   /// Which of Watchers is polled next.
   std::size_t Turn = 0;
-  /// A watch that a poll found behind, and its version then.
+  /// A watch that a poll found behind, its version then, and until when it may
+  /// still tell.
   ObjectWatcher *Behind = nullptr;
   ObjectVersion BehindAt = 0;
+  TimePoint BehindUntil;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/test/store/watch_guard_test.cpp
+++ b/test/store/watch_guard_test.cpp
@@ -125,12 +125,30 @@
 BOOST_AUTO_TEST_CASE(WatchThatDoesNotTellWhatThePollToldIsGivenUp) {
   advance(milliseconds(500));
   takePoll().Done(oneEvent(9));
+  advance(milliseconds(500));
+  takePoll().Done(ObjectList{{}, 9});
   BOOST_TEST(A.isReachable());
   advance(milliseconds(500));
   BOOST_TEST(!A.isReachable());
   BOOST_TEST(B.isReachable());
 }
 
+// inc-a02f of cenacolo-bridge-grown: the store took 240 ms to answer, and
+// watches that told later than the next poll were given up again and again.
+BOOST_AUTO_TEST_CASE(SlowStoreGetsMoreTimeToAnswerAWatch) {
+  advance(milliseconds(500));
+  auto poll = takePoll();
+  Time.advance(milliseconds(240));
+  poll.Done(oneEvent(9));
+  for (int i = 0; i < 3; ++i) {
+    advance(milliseconds(500));
+    BOOST_TEST(A.isReachable());
+    takePoll().Done(ObjectList{{}, 9});
+  }
+  advance(milliseconds(500));
+  BOOST_TEST(!A.isReachable());
+}
+
 BOOST_AUTO_TEST_CASE(WatchThatTellsALittleLaterIsKept) {
   advance(milliseconds(500));
   takePoll().Done(oneEvent(9));
