--- a/src/edge_model/edge_model.cpp
+++ b/src/edge_model/edge_model.cpp
@@ -305,7 +305,7 @@
 }
 
 auto EdgeModel::deliver(const std::string &from, const Endpoint &to,
-                        std::uint64_t wireId, CallerPacket p) -> void {
+                        std::uint64_t wireId, const CallerPacket &p) -> void {
   const auto it = HostAt.find(to);
   if (it == HostAt.end())
     return;
--- a/src/edge_model/edge_model.h
+++ b/src/edge_model/edge_model.h
@@ -171,7 +171,7 @@
   auto act(const ModelInstance &from, const CallerPacket &p,
            const EdgeDecision &d) -> void;
   auto deliver(const std::string &from, const Endpoint &to,
-               std::uint64_t wireId, CallerPacket p) -> void;
+               std::uint64_t wireId, const CallerPacket &p) -> void;
   auto isCut(std::size_t a, std::size_t b) const -> bool;
   auto indexOf(DataCentreId d) const -> std::size_t;
 
--- a/test/store/object_watcher_test.cpp
+++ b/test/store/object_watcher_test.cpp
@@ -79,8 +79,8 @@
   BOOST_TEST(!Store.take("p/").IsWatch);
 }
 
-// boragebench edge, seed 60384: the list after an outage waited for a pause that
-// had grown in it.
+// boragebench edge, seed 60384: the list after an outage waited for a pause
+// that had grown in it.
 BOOST_AUTO_TEST_CASE(HistoryThatIsGoneAfterFailuresMeansAListAtOnce) {
   listed(7);
   for (int i = 0; i < 5; ++i) {
