Ask the store in doubt for each prefix again

Cause: one question in 1.2 s for all prefixes. With a third of the instances turned away by the store, one parent after the other was in doubt; each answer served one prefix and led to the next such parent, and the configuration got its turn at 11.1 s, 8.6 s after the first doubt.

--- a/src/store/relayed_platform.cpp
+++ b/src/store/relayed_platform.cpp
@@ -22,17 +22,19 @@
   return Parent.has_value() && Time.now() >= NotBefore;
 }
 
-auto RelayedPlatform::mayAskInDoubt() -> bool {
+auto RelayedPlatform::mayAskInDoubt(const std::string &prefix) -> bool {
   const auto now = Time.now();
-  if (AskedInDoubt && now - *AskedInDoubt < Options.DoubtPause)
+  const auto [it, added] = AskedInDoubt.emplace(prefix, now);
+  if (!added && now - it->second < Options.DoubtPause)
     return false;
-  AskedInDoubt = now;
+  it->second = now;
   return true;
 }
 
-auto RelayedPlatform::orFromStore(Callback<ObjectList> done, Retry retry)
+auto RelayedPlatform::orFromStore(const std::string &prefix,
+                                  Callback<ObjectList> done, Retry retry)
     -> Callback<ObjectList> {
-  return [this, alive = std::weak_ptr<bool>(Alive), parent = *Parent,
+  return [this, alive = std::weak_ptr<bool>(Alive), parent = *Parent, prefix,
           done = std::move(done),
           retry = std::move(retry)](absl::StatusOr<ObjectList> r) mutable {
     if (alive.expired())
@@ -40,7 +42,7 @@
     if (r.ok() || absl::IsOutOfRange(r.status()))
       return done(std::move(r));
     if (absl::IsFailedPrecondition(r.status()))
-      return askInDoubt(parent, std::move(r), std::move(done), retry);
+      return askInDoubt(parent, prefix, std::move(r), std::move(done), retry);
     if (Parent == parent)
       NotBefore = Time.now() + Options.ParentPause;
     Lost(parent, r.status());
@@ -50,10 +52,11 @@
 }
 
 auto RelayedPlatform::askInDoubt(const Endpoint &parent,
+                                 const std::string &prefix,
                                  absl::StatusOr<ObjectList> doubt,
                                  Callback<ObjectList> done, const Retry &retry)
     -> void {
-  if (!mayAskInDoubt())
+  if (!mayAskInDoubt(prefix))
     return done(std::move(doubt));
   retry(Duration::zero(),
         [this, alive = std::weak_ptr<bool>(Alive), parent, why = doubt.status(),
@@ -95,7 +98,7 @@
     return listStore(prefix, std::move(done));
   ++ParentCalls;
   Clients.at(*Parent)->list(
-      prefix, orFromStore(std::move(done),
+      prefix, orFromStore(prefix, std::move(done),
                           [this, prefix](Duration, Callback<ObjectList> f) {
                             listStore(prefix, std::move(f));
                           }));
@@ -108,7 +111,7 @@
   ++ParentCalls;
   Clients.at(*Parent)->watch(
       prefix, after, std::min(wait, Options.ParentWait),
-      orFromStore(std::move(done),
+      orFromStore(prefix, std::move(done),
                   [this, prefix, after](Duration d, Callback<ObjectList> f) {
                     watchStore(prefix, after, d, std::move(f));
                   }));
--- a/src/store/relayed_platform.h
+++ b/src/store/relayed_platform.h
@@ -20,8 +20,8 @@
   /// Longest wait of a watch at a parent: a parent that froze is found out
   /// after this and the client's grace.
   Duration ParentWait = std::chrono::milliseconds(800);
-  /// While the parent is not sure of its view, the store is asked at most once
-  /// in this time, for any prefix: most likely it is away for all.
+  /// While the parent is not sure of its view, the store is asked for the same
+  /// prefix at most once in this time: most likely it is away for all.
   Duration DoubtPause = std::chrono::milliseconds(1200);
   /// How long a parent that failed is left alone.
   Duration ParentPause = std::chrono::seconds(3);
@@ -81,19 +81,21 @@
   using Retry = std::function<void(Duration wait, Callback<ObjectList>)>;
 
   /// Passes on what the parent answered; \p retry asks the store instead.
-  auto orFromStore(Callback<ObjectList> done, Retry retry)
-      -> Callback<ObjectList>;
+  auto orFromStore(const std::string &prefix, Callback<ObjectList> done,
+                   Retry retry) -> Callback<ObjectList>;
   /// The parent is alive but not sure of its view, and said \p doubt.
   auto listStore(const std::string &prefix, Callback<ObjectList> done) -> void;
   auto watchStore(const std::string &prefix, ObjectVersion after, Duration wait,
                   Callback<ObjectList> done) -> void;
   /// Counts the call to the store, and as open until \p done is called.
   auto countRead(Callback<ObjectList> done) -> Callback<ObjectList>;
-  auto askInDoubt(const Endpoint &parent, absl::StatusOr<ObjectList> doubt,
-                  Callback<ObjectList> done, const Retry &retry) -> void;
-  /// Whether the store may be asked while the parent is alive but not sure of
-  /// its view. Notes it.
-  auto mayAskInDoubt() -> bool;
+  auto askInDoubt(const Endpoint &parent, const std::string &prefix,
+                  absl::StatusOr<ObjectList> doubt, Callback<ObjectList> done,
+                  const Retry &retry) -> void;
+  /// Whether the store may be asked for \p prefix while the parent is alive but
+  /// not sure of its view. Notes it. Each prefix has its turn: one parent after
+  /// the other may be in doubt, and no view may wait for all of them.
+  auto mayAskInDoubt(const std::string &prefix) -> bool;
 
   PlatformClient &Store;
   const Clock &Time;
@@ -104,8 +106,8 @@
   /// Of all parents so far, as a client that is destroyed drops its calls.
   std::map<Endpoint, std::unique_ptr<PlatformClient>> Clients;
   TimePoint NotBefore;
-  /// When the store was last asked in doubt.
-  std::optional<TimePoint> AskedInDoubt;
+  /// When the store was last asked in doubt, by prefix.
+  std::map<std::string, TimePoint> AskedInDoubt;
   /// Lists and watches that the store has not answered yet; outlives the
   /// object with their callbacks.
   std::shared_ptr<std::size_t> OpenStoreReads = std::make_shared<std::size_t>();
