Advertise mirrors to a few members in turn

Cause: found by reading. While the store does not answer, each complete instance sent its address to every other member of its data centre every 400 ms, so the work of one instance grew with the fleet: 165 calls a second with 66 members, which is more than 0.028 of a core can do, and an instance that needs a mirror needs one of them.

Change: eight members a round, in an order that all instances share, each instance starting after itself. A member still hears from eight others in a round of 400 ms.

Result: EdgeStoreViews/AdvertisesToFewMembersInTurn fails without the change (65 instead of 8).

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -186,11 +186,26 @@
       Options.Self.Address.Port == 0)
     return {};
   NextAdvertisement = now + Options.AdvertisementInterval;
+  // The others, from the one after this instance on, in an order that all
+  // instances share.
+  std::vector<Endpoint> others;
+  std::size_t before = 0;
+  for (const auto &[name, it] : Members) {
+    if (name == Options.Self.Name || it.Address.Port == 0 ||
+        it.DataCentre != Options.Self.DataCentre)
+      continue;
+    if (name < Options.Self.Name)
+      ++before;
+    others.push_back(it.Address);
+  }
+  std::rotate(others.begin(),
+              others.begin() + static_cast<std::ptrdiff_t>(before),
+              others.end());
+  const auto n = std::min(Options.AdvertisementsPerRound, others.size());
+  const auto first = n * AdvertisementRound++;
   std::vector<Endpoint> out;
-  for (const auto &[name, it] : Members)
-    if (name != Options.Self.Name && it.Address.Port != 0 &&
-        it.DataCentre == Options.Self.DataCentre)
-      out.push_back(it.Address);
+  for (std::size_t i = 0; i < n; ++i)
+    out.push_back(others[(first + i) % others.size()]);
   return out;
 }
 
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -61,6 +61,8 @@
   Duration AdoptionInterval = std::chrono::milliseconds(700);
   /// Time between two rounds of advertisements.
   Duration AdvertisementInterval = std::chrono::milliseconds(400);
+  /// Members that one instance sends its advertisement to in one round.
+  std::size_t AdvertisementsPerRound = 8;
   /// A new instance opens no flow to a cold upstream for this long after it
   /// registered, so that all other instances have read its record.
   Duration NewMemberWait = std::chrono::seconds(20);
@@ -92,9 +94,11 @@
   /// Another instance advertises its mirror at \p address to instances that
   /// start while the store is unavailable.
   auto onMirrorAdvertised(const Endpoint &address) -> void;
-  /// The instances to which this one should advertise its mirror now: the other
-  /// members of its data centre, while the store does not answer. One of them
-  /// may start without the store and without an address of any mirror.
+  /// The instances to which this one should advertise its mirror now: some of
+  /// the other members of its data centre in turn, while the store does not
+  /// answer. One of them may start without the store and without an address of
+  /// any mirror. The rounds of different instances are offset, so that each
+  /// member hears from AdvertisementsPerRound others in a round.
   auto nextAdvertisements(TimePoint now) -> std::vector<Endpoint>;
   /// Whether the views of upstreams, configuration and withdrawn data centres
   /// have all been received.
@@ -180,6 +184,7 @@
   TimePoint NextAdoption;
   std::size_t SeedIndex = 0;
   TimePoint NextAdvertisement;
+  std::size_t AdvertisementRound = 0;
   /// Clients of the mirrors that were asked for their views. Destroyed, with
   /// their pending calls, when the views are complete.
   std::vector<std::unique_ptr<PlatformClient>> SeedClients;
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -268,6 +268,66 @@
   BOOST_TEST(Platform.storeCalls() == 0U);
 }
 
+// Each of the 66 instances of a data centre of cenacolo-bridge-large would have
+// sent 165 advertisements a second while the store was silent, more than an
+// instance with 0.028 of a core can.
+BOOST_AUTO_TEST_CASE(AdvertisesToFewMembersInTurn) {
+  constexpr std::size_t Members = 66;
+  constexpr std::size_t Rounds = 9;
+  ObjectList members{{}, 9};
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < Members; ++i) {
+    auto m = Self;
+    m.Name = "m" + std::to_string(i);
+    m.Address.Address += static_cast<std::uint32_t>(i);
+    names.push_back(m.Name);
+    members.Events.push_back(
+        {{"instances/" + m.Name, formatMember(m), 8}, false});
+  }
+  std::map<Endpoint, std::size_t> heard;
+  for (std::size_t i = 0; i < Members; ++i) {
+    auto self = Self;
+    self.Name = names[i];
+    self.Address.Address += static_cast<std::uint32_t>(i);
+    ScriptedStore store;
+    UpstreamDirectory directory;
+    MirroredPlatform platform{store, Time,
+                              [](const Endpoint &, MirrorView) {
+                                return std::make_unique<ScriptedStore>();
+                              },
+                              [](const auto &, const auto &) {}};
+    EdgeViews views(Time, Random, Log, platform, Format, directory, Quota,
+                    {.Self = self});
+    views.tick(Time.now());
+    store.answer("config/",
+                 ObjectList{{{{"config/main", Configuration, 3}, false}}, 9});
+    store.answer("evacuations/", ObjectList{{}, 9});
+    store.answer("servers/", ObjectList{{}, 9});
+    views.tick(Time.now());
+    store.answer("servers/", absl::UnavailableError("down"));
+    store.answer("instances/", members);
+    std::map<Endpoint, std::size_t> mine;
+    for (std::size_t round = 0; round < Rounds; ++round) {
+      const auto all =
+          views.nextAdvertisements(Time.now() + round * seconds(1));
+      BOOST_TEST(all.size() == 8U);
+      for (const auto &it : all) {
+        ++mine[it];
+        if (round == 0)
+          ++heard[it];
+      }
+    }
+    // In nine rounds of eight, every other member had its turn.
+    BOOST_TEST(mine.size() == Members - 1);
+    BOOST_TEST(!mine.contains(self.Address));
+  }
+  BOOST_TEST(heard.size() == Members);
+  for (const auto &it : heard) {
+    BOOST_TEST(it.second >= 7U);
+    BOOST_TEST(it.second <= 9U);
+  }
+}
+
 // A parent lost its connection to the store without an error while its next
 // watch was connecting, and confirmed its view for six more seconds. Seen in
 // scenario own-217 of cenacolo-bridge.
