--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -341,7 +341,8 @@
   set("edge_packets_send_failed_total", "Datagrams that the kernel refused",
       Socket->counts().SendFailed);
   set("edge_store_calls_total", "Calls to the store", Platform.storeCalls());
-  set("edge_store_polls_total", "Calls that only check on watches", Polls);
+  set("edge_store_polls_total",
+      "Calls that only check on watches and on the store", Polls);
   set("edge_store_snapshots_total",
       "Lists of the store that may be out of date", Snapshots);
   set("edge_mirror_calls_total", "Calls to other instances' mirrors",
--- a/src/edge_model/model_instance.cpp
+++ b/src/edge_model/model_instance.cpp
@@ -119,13 +119,11 @@
         Views(owner.Ctx.Time, Random, Log, Platform, Format, Directory, Quota,
               {.Self = owner.Self,
                .Seeds = owner.Seeds,
-               .Poll =
-                   [&owner](const auto &prefix, auto after, auto done) {
-                     owner.poll(prefix, after, std::move(done));
-                   },
+               .Poll = [&owner](const auto &prefix, auto after,
+                                auto done) { owner.poll(prefix, after, done); },
                .MemberSnapshot =
                    [this, &owner](auto done) {
-                     owner.readSnapshot(Format.memberPrefix(), std::move(done));
+                     owner.readSnapshot(Format.memberPrefix(), done);
                    },
                .Discovery = {.IsNewFleet = owner.StartCount == 1}}) {}
 
@@ -233,15 +231,16 @@
 }
 
 auto ModelInstance::poll(const std::string &prefix, ObjectVersion after,
-                         PlatformClient::Callback<ObjectList> done) -> void {
+                         const PlatformClient::Callback<ObjectList> &done)
+    -> void {
   callCheaply(done, [this, prefix, after, done] {
     Ctx.Store.watch(prefix, after, Duration::zero(), done);
     Ctx.Store.poll();
   });
 }
 
-auto ModelInstance::readSnapshot(const std::string &prefix,
-                                 PlatformClient::Callback<ObjectList> done)
+auto ModelInstance::readSnapshot(
+    const std::string &prefix, const PlatformClient::Callback<ObjectList> &done)
     -> void {
   callCheaply(done, [this, prefix, done] { done(Ctx.ReadSnapshot(prefix)); });
 }
--- a/src/edge_model/model_instance.h
+++ b/src/edge_model/model_instance.h
@@ -106,9 +106,9 @@
 
   auto applyFaults() -> void;
   auto poll(const std::string &prefix, ObjectVersion after,
-            PlatformClient::Callback<ObjectList> done) -> void;
+            const PlatformClient::Callback<ObjectList> &done) -> void;
   auto readSnapshot(const std::string &prefix,
-                    PlatformClient::Callback<ObjectList> done) -> void;
+                    const PlatformClient::Callback<ObjectList> &done) -> void;
   /// Counts a cheap call to the store and runs \p answer when the store handles
   /// it, or fails \p done.
   auto callCheaply(PlatformClient::Callback<ObjectList> done,
