--- a/src/edge/mirror_tree.h
+++ b/src/edge/mirror_tree.h
@@ -3,7 +3,8 @@
 /// store. The instances of a data centre form a tree by rank, with the highest
 /// capacity at the root. The root reads the store, and every other instance
 /// reads the mirror of its parent. The load of the store thus grows with the
-/// number of data centres, and no instance serves more than Fanout readers.
+/// number of data centres. An instance serves Fanout readers, and more only
+/// while members of its rank or above are down.
 ///
 /// Instances with different member lists may compute different trees. This is
 /// harmless, because every mirror reports whether its view is confirmed. A
--- a/src/edge/parent_discovery.h
+++ b/src/edge/parent_discovery.h
@@ -37,7 +37,7 @@
   /// Called at most once, possibly after ListTimeout.
   using OnMembers = std::function<void(const ObjectList &)>;
 
-  /// With an empty \p read, there is nothing to wait for.
+  /// With an empty \p read, the views may be read at once.
   ParentDiscovery(Register doRegister, ReadMembers read, OnMembers onMembers,
                   ParentDiscoveryOptions opt)
       : DoRegister(std::move(doRegister)), Read(std::move(read)),
--- a/src/store/mirrored_platform.h
+++ b/src/store/mirrored_platform.h
@@ -84,10 +84,8 @@
   /// Ends watches that were opened at the store while there was no parent, if
   /// there is one now. They end with Cancelled.
   auto moveWatchesToParent() -> void;
-  /// Like list() and watch(), but always of the store itself.
+  /// Like list(), but always of the store itself.
   auto listStore(const std::string &prefix, Callback<ObjectList> done) -> void;
-  auto watchStore(const std::string &prefix, ObjectVersion after, Duration wait,
-                  Callback<ObjectList> done) -> void;
 
   /// The number of calls sent to the store, and to parents.
   auto storeCalls() const -> std::uint64_t { return StoreCalls; }
@@ -110,9 +108,11 @@
   };
 
   /// Returns the callback for a call to the parent. It passes the answer on to
-  /// \p done, or repeats the call at the store with \p retry.
+  /// \p done, or repeats the call with \p retry at another parent or the store.
   auto withStoreFallback(const std::string &prefix, Callback<ObjectList> done,
                          Retry retry) -> Callback<ObjectList>;
+  auto watchStore(const std::string &prefix, ObjectVersion after, Duration wait,
+                  Callback<ObjectList> done) -> void;
   /// Watches the store until it answers or moveWatchesToParent() is called.
   auto watchStoreDirectly(const std::string &prefix, ObjectVersion after,
                           Duration wait, Callback<ObjectList> done) -> void;
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -270,7 +270,7 @@
 
 // Each of the 66 instances of a data centre of cenacolo-bridge-large would have
 // sent 165 advertisements a second while the store was silent, more than an
-// instance with 0.028 of a core can.
+// instance with 0.028 of a core can send.
 BOOST_AUTO_TEST_CASE(AdvertisesToFewMembersInTurn) {
   constexpr std::size_t Members = 66;
   constexpr std::size_t Rounds = 9;
