Order the cases of the review, and let the cold-host case state a rate

Cause: a case for CONFIG was found that is graver than the one of routes that an instance doesn't know yet. In the case of cold hosts, warmupPerS was 0, which might be read as no limit.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,64 +1,92 @@
-"""The store turns one machine away while a zone is evacuated and returns."""
+"""A large configuration changes again and again; machines have 74 MB."""
 import asyncio
 import os
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 import layout  # noqa: E402
 import standins  # noqa: E402
 
-ZONE = "siracusa"
-REFUSED = "front-siracusa-1"
-REFUSED_FOR_S = 9.0
-# warmupPerS is 0 in the configuration.
-LIMIT = 0.0 * standins.COLD_FACTOR + standins.COLD_SLACK
+MEMORY_MB = 74
+BIG_CONFIG_ROUTES = 1652
+BIG_CONFIGS = 3
+STORM_GAP_S = 0.33
+CHANGES_FOR_S = 98
+ENDS_TO_FAULT = 3
+MACHINES_TO_FAULT = 2
 
 
-async def work(world):
-    layout.add_routes(world)
+def private_bytes(pid):
+    """Memory of a process, without the pages of its program files."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as status:
+        for line in status:
+            if line.startswith("RssAnon:"):
+                return int(line.split()[1]) * 1024
+    return 0
+
+
+async def enforce_memory_limit(world, machine, ends):
+    """Kills a process that exceeds memoryMb, as the platform does, and starts
+    it again."""
+    most = 0
+    while True:
+        await asyncio.sleep(0.1)
+        used = private_bytes(machine.process.pid)
+        if used > most + 10 * 2**20:
+            most = used
+            world.record("memory-mb", machine.name, used >> 20, "changes",
+                         world.changes)
+        if used <= MEMORY_MB * 2**20:
+            continue
+        world.record("over-memory-limit", machine.name, used >> 20,
+                     "changes", world.changes)
+        ends[machine.name] += 1
+        most = 0
+        await machine.kill_and_start()
+        if ends[machine.name] == ENDS_TO_FAULT:
+            world.faulty.append(machine.name)
+            if len(world.faulty) >= MACHINES_TO_FAULT:
+                world.broken("Fault", f"{ENDS_TO_FAULT} times each, the "
+                             "process exceeded its memory on "
+                             + ", ".join(world.faulty))
 
-    def on_opening(host, packet, via):
-        now = time.monotonic()
-        if now > host.cold_until:
-            return
-        consumer = next(c for c in world.consumers if c.number == packet.src)
-        flow = consumer.flows.get(packet.sport)
-        cold_since = host.cold_until - standins.WARMUP_S
-        since = max(now - 1.0, cold_since)
-        recent = [t for t, _ in host.openings if t >= since]
-        world.record("opening-at-cold-host", host.id, "from",
-                     world.machine_at(via).name, "in this second",
-                     len(recent))
-        if flow and flow.started >= since and len(recent) > LIMIT:
-            world.broken("FAILBACK", f"{host.id} is cold and took "
-                         f"{len(recent)} new flows within one second, the "
-                         f"last from {world.machine_at(via).name}")
 
-    world.on_opening = on_opening
+async def work(world):
+    layout.add_routes(world)
+    world.memory_mb = MEMORY_MB
+    world.changes = 0
+    world.faulty = []
+    ends = {m.name: 0 for m in world.machines}
     await world.start()
-    layout.start_reservations(world)
-    await asyncio.sleep(22)
-    machine = next(m for m in world.machines if m.name == REFUSED)
-    refused_until = time.monotonic() + REFUSED_FOR_S
-    if world.has_trouble:
-        machine.listener.refuses = True
-        world.record("store-turns-away", REFUSED)
-    await asyncio.sleep(2)
-    world.store.put("evacuations", ZONE, {})
-    world.record("evacuation-acked", ZONE)
-    await asyncio.sleep(4)
-    for host in world.hosts:
-        if host.zone == ZONE:
-            host.turn_cold()
-    await asyncio.sleep(1)
-    world.store.delete("evacuations", ZONE)
-    world.record("evacuation-taken-back", ZONE)
-    await asyncio.sleep(refused_until - time.monotonic())
-    machine.listener.refuses = False
-    world.record("store-serves-again", REFUSED)
+    for m in world.machines:
+        world.spawn(enforce_memory_limit(world, m, ends))
+    for zone in layout.ZONES:
+        world.spawn(world.send_reservations(layout.RESERVE, 3, zone))
     await asyncio.sleep(4)
+    deadline = world.now() + CHANGES_FOR_S
+    added = 0
+    while world.now() < deadline:
+        if world.has_trouble:
+            # big_config: the configuration grows by many routes.
+            if world.changes < BIG_CONFIGS:
+                for i in range(BIG_CONFIG_ROUTES):
+                    address = (standins.ip_to_int("127.9.1.0") + added // 60000,
+                               1024 + added % 60000)
+                    world.routes[address] = (f"r-{added}", "tavola")
+                    added += 1
+            # config_storm: one more route each.
+            world.routes[(standins.ip_to_int("127.9.8.1"),
+                          1024 + world.changes)] = (
+                              f"s-{world.changes}", "tavola")
+            world.write_configuration()
+            world.changes += 1
+        await asyncio.sleep(STORM_GAP_S)
+    size = len(standins.json.dumps(
+        world.store.objects[("config", "main")]["spec"]))
+    print("bytes of the configuration:", size, "changes:", world.changes,
+          "ends by memory:", ends)
+    world.record("configuration-bytes", size)
 
 
 standins.run_case(work, FOLDER, layout.MACHINES, layout.HOSTS)
--- a/review/standins.py
+++ b/review/standins.py
@@ -665,6 +665,7 @@
         self.services = list(dict.fromkeys(s for s, _ in hosts))
         self.version = 4
         self.memory_mb = 260
+        self.warmup_per_s = 0.0
         self.tasks = set()
         self.counts = collections.Counter()
         self.breaks = []
@@ -724,7 +725,8 @@
             for (dst, port), (name, service) in self.routes.items()]
         services = [{"name": s, "healthPath": "/health", "maxConns": 2000,
                      "protocol": "h1", "tls": False, "warmupS": WARMUP_S,
-                     "warmupPerS": 0.0} for s in self.services]
+                     "warmupPerS": self.warmup_per_s}
+                    for s in self.services]
         self.store.put("config", "main", {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
