Show how much memory the heap and the mirror take

/metrics now has edge_heap_used_bytes, edge_heap_free_bytes (mallinfo2) and edge_mirror_objects, edge_mirror_object_bytes, edge_mirror_history_events and edge_mirror_history_bytes. They are computed when the metrics are read.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <malloc.h>
 #include <utility>
 
 namespace boragebridge {
@@ -108,6 +109,7 @@
   auto logOpened(const FlowPacket &p, const EdgeDecision &d) -> void;
   auto handleRequest(const HttpRequest &r) -> HttpResponse;
   auto renderMetrics() -> std::string;
+  auto setMemoryGauges() -> void;
   auto scheduleTick() -> void;
   auto tick() -> void;
   auto logPauseAndSuspects(TimePoint lastTick) -> void;
@@ -353,9 +355,29 @@
       .set(static_cast<double>(Directory.size()));
   Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
       .set(std::chrono::duration<double>(Views.age(Time.now())).count());
+  setMemoryGauges();
   return Metrics.renderText();
 }
 
+auto EdgeServer::setMemoryGauges() -> void {
+  auto set = [this](const char *name, const char *help, std::size_t n) {
+    Metrics.gauge(name, help).set(static_cast<double>(n));
+  };
+  const auto heap = ::mallinfo2();
+  set("edge_heap_used_bytes", "Heap that is in use",
+      heap.uordblks + heap.hblkhd);
+  set("edge_heap_free_bytes", "Heap that is free, but still of the process",
+      heap.fordblks);
+  const auto mirror = std::as_const(Views).mirror().usage();
+  set("edge_mirror_objects", "Objects in the mirror", mirror.Objects);
+  set("edge_mirror_object_bytes", "Size of the objects in the mirror",
+      mirror.ObjectBytes);
+  set("edge_mirror_history_events", "Events kept for readers of the mirror",
+      mirror.HistoryEvents);
+  set("edge_mirror_history_bytes",
+      "Size of the events kept for readers of the mirror", mirror.HistoryBytes);
+}
+
 auto EdgeServer::scheduleTick() -> void {
   Timer.expires_after(TickInterval);
   Timer.async_wait([this](auto ec) {
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -107,6 +107,7 @@
   auto age(TimePoint now) const -> Duration;
   /// The mirror that serves the views to other instances.
   auto mirror() -> ObjectMirror & { return Mirror; }
+  auto mirror() const -> const ObjectMirror & { return Mirror; }
 
 private:
   /// Handlers of the objects under one prefix.
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -150,4 +150,22 @@
   return n;
 }
 
+static auto sizeOf(const StoredObject &o) -> std::size_t {
+  return o.Key.size() + o.Value.size();
+}
+
+auto ObjectMirror::usage() const -> MirrorUsage {
+  MirrorUsage out;
+  for (const auto &[prefix, view] : Views) {
+    out.Objects += view.Objects.size();
+    for (const auto &[key, object] : view.Objects)
+      out.ObjectBytes += sizeOf(object);
+    out.HistoryEvents += view.HistoryEvents;
+    for (const auto &batch : view.History)
+      for (const auto &it : batch.Events)
+        out.HistoryBytes += sizeOf(it.Object);
+  }
+  return out;
+}
+
 } // namespace boragebridge
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -26,6 +26,17 @@
   std::size_t MaxWatches = 256;
 };
 
+/// What a mirror keeps in memory.
+struct MirrorUsage {
+  std::size_t Objects = 0;
+  /// Size of the keys and values of the objects.
+  std::size_t ObjectBytes = 0;
+  /// Events kept for readers with an older version.
+  std::size_t HistoryEvents = 0;
+  /// Size of the keys and values of these events.
+  std::size_t HistoryBytes = 0;
+};
+
 /// The mirror of a set of prefixes.
 class ObjectMirror {
 public:
@@ -71,6 +82,8 @@
   /// Ends watches whose deadline has passed.
   auto tick(TimePoint now) -> void;
   auto openWatches() const -> std::size_t;
+  /// Takes time linear in the number of objects and events.
+  auto usage() const -> MirrorUsage;
 
 private:
   /// The events that one watch of the store returned.
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -141,6 +141,17 @@
   BOOST_TEST(Mirror.openWatches() == 2U);
 }
 
+// An operator must be able to see which part of the memory is the mirror's.
+BOOST_AUTO_TEST_CASE(UsageCountsObjectsAndHistory) {
+  start();
+  Mirror.apply("p/", {{object("p/c", 8)}, 8});
+  const auto n = Mirror.usage();
+  BOOST_TEST(n.Objects == 3U);
+  BOOST_TEST(n.ObjectBytes == 15U);
+  BOOST_TEST(n.HistoryEvents == 1U);
+  BOOST_TEST(n.HistoryBytes == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
