Keep the last change of an object in a mirror, not each version

Cause: the mirror kept the events of each prefix with their values, bounded by their number (4,096), not by bytes.

Change: the mirror keeps the last change of each object, in the order of the changes. A reader that is behind gets the present objects that it does not know and the removals. So a value is in memory once, whatever its size and however often it changes. Removals, which have no value, are bounded by bytes.

WatchBeforeHistoryIsOutOfRange counted events of one object, which are no longer kept; it now checks removals, which are what a reader cannot do without, and ReaderThatIsBehindGetsLastChangeOfEachObjectInOrder checks what the reader gets in place of the events.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -372,10 +372,10 @@
   set("edge_mirror_objects", "Objects in the mirror", mirror.Objects);
   set("edge_mirror_object_bytes", "Size of the objects in the mirror",
       mirror.ObjectBytes);
-  set("edge_mirror_history_events", "Events kept for readers of the mirror",
-      mirror.HistoryEvents);
-  set("edge_mirror_history_bytes",
-      "Size of the events kept for readers of the mirror", mirror.HistoryBytes);
+  set("edge_mirror_removals", "Removals kept for readers of the mirror",
+      mirror.Removals);
+  set("edge_mirror_removal_bytes", "Memory for these removals",
+      mirror.RemovalBytes);
 }
 
 auto EdgeServer::scheduleTick() -> void {
--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -1,6 +1,7 @@
 #include "store/object_mirror.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace boragebridge {
@@ -8,14 +9,15 @@
 auto ObjectMirror::replace(const std::string &prefix, const ObjectList &all)
     -> void {
   auto &view = Views[prefix];
-  ++view.Changes;
-  view.Objects.clear();
-  for (const auto &it : all.Events)
-    view.Objects[it.Object.Key] = it.Object;
+  ++view.Updates;
+  view.ByKey.clear();
+  view.Changes.clear();
+  view.Removals = 0;
+  view.RemovalBytes = 0;
   view.Version = all.CurrentVersion;
   view.HistoryStart = all.CurrentVersion;
-  view.History.clear();
-  view.HistoryEvents = 0;
+  for (const auto &it : all.Events)
+    record(view, it);
   view.Confirmed = true;
   answerWatches(view);
 }
@@ -23,24 +25,53 @@
 auto ObjectMirror::apply(const std::string &prefix, const ObjectList &events)
     -> void {
   auto &view = Views[prefix];
-  ++view.Changes;
-  for (const auto &it : events.Events) {
-    if (it.Removed)
-      view.Objects.erase(it.Object.Key);
-    else
-      view.Objects[it.Object.Key] = it.Object;
-  }
+  ++view.Updates;
   view.Version = std::max(view.Version, events.CurrentVersion);
-  view.History.push_back({events.CurrentVersion, events.Events});
-  view.HistoryEvents += events.Events.size();
-  while (view.HistoryEvents > Options.HistoryEvents) {
-    view.HistoryStart = view.History.front().Version;
-    view.HistoryEvents -= view.History.front().Events.size();
-    view.History.pop_front();
-  }
+  for (const auto &it : events.Events)
+    record(view, it);
+  forgetRemovals(view, Options.RemovalBytes);
   answerWatches(view);
 }
 
+auto ObjectMirror::removalBytes(const std::string &key) -> std::size_t {
+  return sizeof(Change) + 2 * key.size();
+}
+
+auto ObjectMirror::record(View &view, const ObjectEvent &e) -> void {
+  const auto &key = e.Object.Key;
+  auto [it, added] = view.ByKey.try_emplace(key);
+  if (added) {
+    it->second = view.Changes.insert(view.Changes.end(), Change{});
+  } else {
+    view.Changes.splice(view.Changes.end(), view.Changes, it->second);
+    if (it->second->Event.Removed) {
+      --view.Removals;
+      view.RemovalBytes -= removalBytes(key);
+    }
+  }
+  *it->second = {e, view.Version};
+  if (!e.Removed)
+    return;
+  it->second->Event.Object.Value = {};
+  ++view.Removals;
+  view.RemovalBytes += removalBytes(key);
+}
+
+auto ObjectMirror::forgetRemovals(View &view, std::size_t maxBytes) -> void {
+  for (auto it = view.Changes.begin(); view.RemovalBytes > maxBytes;) {
+    if (!it->Event.Removed) {
+      ++it;
+      continue;
+    }
+    const auto &key = it->Event.Object.Key;
+    view.HistoryStart = it->SeenFrom;
+    --view.Removals;
+    view.RemovalBytes -= removalBytes(key);
+    view.ByKey.erase(key);
+    it = view.Changes.erase(it);
+  }
+}
+
 auto ObjectMirror::advance(const std::string &prefix, ObjectVersion version)
     -> void {
   auto &view = Views[prefix];
@@ -72,8 +103,9 @@
   const auto &view = Views.at(prefix);
   ObjectList out;
   out.CurrentVersion = view.Version;
-  for (const auto &[key, object] : view.Objects)
-    out.Events.push_back({object, false});
+  for (const auto &[key, it] : view.ByKey)
+    if (!it->Event.Removed)
+      out.Events.push_back(it->Event);
   return out;
 }
 
@@ -84,16 +116,18 @@
   ObjectList out;
   // A reader with a newer version than the mirror keeps its version.
   out.CurrentVersion = std::max(view.Version, after);
-  for (const auto &it : view.History)
-    if (it.Version > after)
-      out.Events.insert(out.Events.end(), it.Events.begin(), it.Events.end());
+  auto it = view.Changes.end();
+  while (it != view.Changes.begin() && std::prev(it)->SeenFrom > after)
+    --it;
+  for (; it != view.Changes.end(); ++it)
+    out.Events.push_back(it->Event);
   return out;
 }
 
 auto ObjectMirror::changeCount(const std::string &prefix) const
     -> std::uint64_t {
   const auto it = Views.find(prefix);
-  return it == Views.end() ? 0 : it->second.Changes;
+  return it == Views.end() ? 0 : it->second.Updates;
 }
 
 auto ObjectMirror::changes(const std::string &prefix, ObjectVersion after) const
@@ -150,20 +184,15 @@
   return n;
 }
 
-static auto sizeOf(const StoredObject &o) -> std::size_t {
-  return o.Key.size() + o.Value.size();
-}
-
 auto ObjectMirror::usage() const -> MirrorUsage {
   MirrorUsage out;
   for (const auto &[prefix, view] : Views) {
-    out.Objects += view.Objects.size();
-    for (const auto &[key, object] : view.Objects)
-      out.ObjectBytes += sizeOf(object);
-    out.HistoryEvents += view.HistoryEvents;
-    for (const auto &batch : view.History)
-      for (const auto &it : batch.Events)
-        out.HistoryBytes += sizeOf(it.Object);
+    out.Objects += view.Changes.size() - view.Removals;
+    for (const auto &[event, seenFrom] : view.Changes)
+      if (!event.Removed)
+        out.ObjectBytes += event.Object.Key.size() + event.Object.Value.size();
+    out.Removals += view.Removals;
+    out.RemovalBytes += view.RemovalBytes;
   }
   return out;
 }
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -7,20 +7,25 @@
 /// Otherwise it answers FailedPrecondition, and its readers call the store
 /// themselves. This bounds how far the view of a reader can lag behind.
 ///
+/// A mirror keeps the last change of each object, not those before it: a reader
+/// that is behind gets the present objects that it does not know and the
+/// removals. So no value is kept twice, however often an object changes.
+///
 /// Does no I/O. Not thread-safe.
 #ifndef BORAGEBRIDGE_STORE_OBJECT_MIRROR_H
 #define BORAGEBRIDGE_STORE_OBJECT_MIRROR_H
 
 #include "boragebridge/platform_client.h"
 
-#include <deque>
+#include <list>
 #include <map>
 
 namespace boragebridge {
 
 struct ObjectMirrorOptions {
-  /// Events that are kept for each prefix, for readers with an older version.
-  std::size_t HistoryEvents = 4096;
+  /// Memory for the removals that are kept for each prefix, in bytes. A reader
+  /// with a version older than these must read the list.
+  std::size_t RemovalBytes = std::size_t{256} << 10;
   /// Watches that may be open at once. A further one is refused with
   /// ResourceExhausted.
   std::size_t MaxWatches = 256;
@@ -31,10 +36,10 @@
   std::size_t Objects = 0;
   /// Size of the keys and values of the objects.
   std::size_t ObjectBytes = 0;
-  /// Events kept for readers with an older version.
-  std::size_t HistoryEvents = 0;
-  /// Size of the keys and values of these events.
-  std::size_t HistoryBytes = 0;
+  /// Removals kept for readers with an older version.
+  std::size_t Removals = 0;
+  /// Memory for these removals.
+  std::size_t RemovalBytes = 0;
 };
 
 /// The mirror of a set of prefixes.
@@ -68,28 +73,30 @@
   /// A number that changes with the objects below \p prefix, but not when only
   /// the version of the view advances.
   auto changeCount(const std::string &prefix) const -> std::uint64_t;
-  /// Returns the events after version \p after, without waiting for new ones.
+  /// Returns the last change of each object that has changed after version
+  /// \p after, in the order of the changes, without waiting for new ones.
   /// Errors are those of watch().
   auto changes(const std::string &prefix, ObjectVersion after) const
       -> absl::StatusOr<ObjectList>;
-  /// Calls \p done with the events after version \p after: at once, or when the
-  /// first one arrives, or with an empty list at \p until. Errors: OutOfRange
-  /// when the history no longer contains all of them, FailedPrecondition when
-  /// the view is not confirmed, ResourceExhausted when too many watches are
-  /// open.
+  /// Calls \p done with the changes after version \p after: at once, or when
+  /// the first one arrives, or with an empty list at \p until. Errors:
+  /// OutOfRange when the history no longer contains all of them,
+  /// FailedPrecondition when the view is not confirmed, ResourceExhausted when
+  /// too many watches are open.
   auto watch(const std::string &prefix, ObjectVersion after, TimePoint until,
              Done done) -> void;
   /// Ends watches whose deadline has passed.
   auto tick(TimePoint now) -> void;
   auto openWatches() const -> std::size_t;
-  /// Takes time linear in the number of objects and events.
+  /// Takes time linear in the number of objects.
   auto usage() const -> MirrorUsage;
 
 private:
-  /// The events that one watch of the store returned.
-  struct Batch {
-    ObjectVersion Version = 0;
-    std::vector<ObjectEvent> Events;
+  /// The last change of one object. The value is empty if it was a removal.
+  struct Change {
+    ObjectEvent Event;
+    /// A reader whose version is at least this one has seen the change.
+    ObjectVersion SeenFrom = 0;
   };
   struct Watch {
     ObjectVersion After = 0;
@@ -98,19 +105,28 @@
   };
   /// The view of one prefix and its open watches.
   struct View {
-    std::map<std::string, StoredObject> Objects;
+    /// The last change of each object, the latest at the end.
+    std::list<Change> Changes;
+    /// The elements of Changes by key.
+    std::map<std::string, std::list<Change>::iterator> ByKey;
     ObjectVersion Version = 0;
-    /// History contains all events after this version.
+    /// Changes contains all removals after this version.
     ObjectVersion HistoryStart = 0;
-    std::deque<Batch> History;
-    std::size_t HistoryEvents = 0;
-    /// Number of calls that have changed Objects.
-    std::uint64_t Changes = 0;
+    std::size_t Removals = 0;
+    std::size_t RemovalBytes = 0;
+    /// Number of calls that have changed the objects.
+    std::uint64_t Updates = 0;
     bool Confirmed = false;
     std::vector<Watch> Watches;
   };
 
-  /// Returns the kept events after \p after, or OutOfRange.
+  /// Records \p e as the last change of its object.
+  static auto record(View &view, const ObjectEvent &e) -> void;
+  /// Forgets the oldest removals that do not fit into \p maxBytes.
+  static auto forgetRemovals(View &view, std::size_t maxBytes) -> void;
+  /// Memory for the removal of the object \p key.
+  static auto removalBytes(const std::string &key) -> std::size_t;
+  /// Returns the changes after \p after, in their order, or OutOfRange.
   static auto eventsAfter(const View &view, ObjectVersion after)
       -> absl::StatusOr<ObjectList>;
   /// Answers the open watches of \p view for which there are events.
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -14,7 +14,8 @@
 
 struct MirrorFixture {
   ManualClock Time;
-  ObjectMirror Mirror{{.HistoryEvents = 3, .MaxWatches = 2}};
+  static constexpr std::size_t RemovalBytes = 600;
+  ObjectMirror Mirror{{.RemovalBytes = RemovalBytes, .MaxWatches = 2}};
   std::optional<absl::StatusOr<ObjectList>> Answer;
 
   static auto object(const std::string &key, ObjectVersion v,
@@ -106,14 +107,67 @@
   BOOST_TEST((*Answer)->CurrentVersion == 20U);
 }
 
-BOOST_AUTO_TEST_CASE(WatchBeforeHistoryIsOutOfRange) {
+// A mirror that kept each version of a large configuration grew until its
+// process exceeded the memory of its machine.
+BOOST_AUTO_TEST_CASE(MemoryDoesNotGrowWithVersionsOfAnObject) {
+  constexpr std::size_t ValueBytes = 10'000;
+  start();
+  for (ObjectVersion v = 8; v < 1000; ++v)
+    Mirror.apply("p/",
+                 {{{{"p/c", std::string(ValueBytes, 'x'), v}, false}}, v});
+  const auto n = Mirror.usage();
+  BOOST_TEST(n.Objects == 3U);
+  BOOST_TEST(n.ObjectBytes + n.RemovalBytes < 2 * ValueBytes);
+}
+
+// The same for objects that come and go, such as upstreams over weeks.
+BOOST_AUTO_TEST_CASE(MemoryDoesNotGrowWithRemovedObjects) {
+  start();
+  for (ObjectVersion v = 8; v < 1000; ++v) {
+    const auto key = "p/" + std::to_string(v);
+    Mirror.apply("p/", {{object(key, v)}, v});
+    Mirror.apply("p/", {{object(key, v, true)}, v});
+  }
+  const auto n = Mirror.usage();
+  BOOST_TEST(n.Objects == 2U);
+  BOOST_TEST(n.RemovalBytes <= RemovalBytes);
+  watch(998);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST_REQUIRE(Answer->ok());
+  BOOST_TEST((*Answer)->Events.size() == 1U);
+  BOOST_TEST((*Answer)->Events[0].Removed);
+}
+
+BOOST_AUTO_TEST_CASE(ReaderThatIsBehindGetsLastChangeOfEachObjectInOrder) {
   start();
   for (ObjectVersion v = 8; v < 14; ++v)
     Mirror.apply("p/", {{object("p/c", v)}, v});
+  Mirror.apply("p/", {{object("p/a", 14, true)}, 14});
+  Mirror.apply("p/", {{object("p/c", 15)}, 15});
+  Mirror.apply("p/", {{object("p/b", 16, true), object("p/b", 17)}, 17});
+  watch(8);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST_REQUIRE(Answer->ok());
+  const auto &events = (*Answer)->Events;
+  BOOST_TEST_REQUIRE(events.size() == 3U);
+  BOOST_TEST(events[0].Object.Key == "p/a");
+  BOOST_TEST(events[0].Removed);
+  BOOST_TEST(events[1].Object.Version == 15U);
+  BOOST_TEST(events[2].Object.Version == 17U);
+  BOOST_TEST(!events[2].Removed);
+  watch(15);
+  BOOST_TEST((*Answer)->Events.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WatchBeforeHistoryIsOutOfRange) {
+  start();
+  BOOST_TEST(absl::IsOutOfRange(Mirror.changes("p/", 6).status()));
+  for (ObjectVersion v = 8; v < 30; ++v)
+    Mirror.apply("p/", {{object("p/" + std::to_string(v), v, true)}, v});
   watch(8);
   BOOST_TEST_REQUIRE(Answer.has_value());
   BOOST_TEST(absl::IsOutOfRange(Answer->status()));
-  watch(11);
+  watch(27);
   BOOST_TEST((*Answer)->Events.size() == 2U);
 }
 
@@ -142,14 +196,17 @@
 }
 
 // An operator must be able to see which part of the memory is the mirror's.
-BOOST_AUTO_TEST_CASE(UsageCountsObjectsAndHistory) {
+BOOST_AUTO_TEST_CASE(UsageCountsObjectsAndRemovals) {
   start();
-  Mirror.apply("p/", {{object("p/c", 8)}, 8});
+  Mirror.apply("p/", {{object("p/c", 8), object("p/a", 8, true)}, 8});
   const auto n = Mirror.usage();
-  BOOST_TEST(n.Objects == 3U);
-  BOOST_TEST(n.ObjectBytes == 15U);
-  BOOST_TEST(n.HistoryEvents == 1U);
-  BOOST_TEST(n.HistoryBytes == 5U);
+  BOOST_TEST(n.Objects == 2U);
+  BOOST_TEST(n.ObjectBytes == 10U);
+  BOOST_TEST(n.Removals == 1U);
+  BOOST_TEST(n.RemovalBytes > 0U);
+  Mirror.apply("p/", {{object("p/a", 9)}, 9});
+  BOOST_TEST(Mirror.usage().Removals == 0U);
+  BOOST_TEST(Mirror.usage().RemovalBytes == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
