Parse each entry of the store by itself

Callers saw: after another writer left one entry with a text cut in the middle of a character, or nested 40 deep, no instance followed the upstreams any more. Operators of similar systems report the same of deep nesting and of numbers and ports out of range.

Cause: a page of the store, with the values of all writers, was parsed by one call of the JSON parser, so a value that it refuses failed the list or watch. Evidence: watch_lost, "malformed response: not JSON", for the prefix at every instance, never regained; record_refused never written.

Change: net/json_split splits a page into the texts of its entries without parsing them and without recursion. Only name, version and deletion mark of an entry are parsed, each by itself; the value stays text, and the decoder of the record refuses it alone. An entry without a readable name or version is counted in the new line entries_unreadable. Port 0 and infinite times in a record are refused as well. The values are no longer parsed and formatted once more.

--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -49,6 +49,8 @@
 struct ObjectList {
   std::vector<ObjectEvent> Events;
   ObjectVersion CurrentVersion = 0;
+  /// Entries that are left out, as their keys or versions cannot be read.
+  std::size_t Unreadable = 0;
 };
 
 /// Asynchronous client of the store. Each call ends with exactly one callback,
--- /dev/null
+++ b/src/net/json_split.cpp
@@ -0,0 +1,144 @@
+#include "net/json_split.h"
+
+#include <algorithm>
+#include <string>
+
+namespace boragebridge {
+
+namespace {
+
+/// Reads the parts of one array or object from front to back.
+class Splitter {
+public:
+  explicit Splitter(std::string_view text) : Text(text) {}
+
+  /// Skips white space, and then \p c if it follows.
+  auto consume(char c) -> bool {
+    skipSpace();
+    if (Pos == Text.size() || Text[Pos] != c)
+      return false;
+    ++Pos;
+    return true;
+  }
+
+  /// Skips a value and returns its text; empty if there is none, or if the text
+  /// ends within it.
+  auto takeValue() -> std::string_view {
+    skipSpace();
+    const auto begin = Pos;
+    auto end = begin;
+    std::size_t depth = 0;
+    for (; Pos < Text.size(); ++Pos) {
+      const auto c = Text[Pos];
+      if (depth == 0 && (c == ',' || c == ':' || c == ']' || c == '}'))
+        break;
+      if (c == '"') {
+        if (!skipString())
+          return {};
+      } else if (c == '[' || c == '{') {
+        ++depth;
+      } else if (c == ']' || c == '}') {
+        --depth;
+      }
+      if (!isSpace(c))
+        end = Pos + 1;
+    }
+    return depth == 0 ? Text.substr(begin, end - begin) : std::string_view();
+  }
+
+  /// Whether nothing but white space is left.
+  auto isAtEnd() -> bool {
+    skipSpace();
+    return Pos == Text.size();
+  }
+
+private:
+  static auto isSpace(char c) -> bool {
+    return c == ' ' || c == '\n' || c == '\r' || c == '\t';
+  }
+
+  auto skipSpace() -> void {
+    while (Pos < Text.size() && isSpace(Text[Pos]))
+      ++Pos;
+  }
+
+  /// Moves from the opening quote of a string to its closing one. Returns false
+  /// if there is none.
+  auto skipString() -> bool {
+    for (++Pos; Pos < Text.size(); ++Pos) {
+      Pos = Text.find_first_of("\"\\", Pos);
+      if (Pos == std::string_view::npos)
+        break;
+      if (Text[Pos] == '"')
+        return true;
+      ++Pos;
+    }
+    Pos = Text.size();
+    return false;
+  }
+
+  std::string_view Text;
+  std::size_t Pos = 0;
+};
+
+/// Calls \p takePart for each part between \p open and \p close. It returns
+/// false for a malformed part.
+template <typename TakePart>
+auto splitParts(Splitter &in, char open, char close, TakePart takePart)
+    -> bool {
+  if (!in.consume(open))
+    return false;
+  if (in.consume(close))
+    return in.isAtEnd();
+  do {
+    if (!takePart())
+      return false;
+  } while (in.consume(','));
+  return in.consume(close) && in.isAtEnd();
+}
+
+} // namespace
+
+auto splitJsonArray(std::string_view text)
+    -> absl::StatusOr<std::vector<std::string_view>> {
+  Splitter in(text);
+  std::vector<std::string_view> out;
+  const auto ok = splitParts(in, '[', ']', [&] {
+    out.push_back(in.takeValue());
+    return !out.back().empty();
+  });
+  if (!ok)
+    return absl::InvalidArgumentError("not a JSON array");
+  return out;
+}
+
+auto splitJsonObject(std::string_view text)
+    -> absl::StatusOr<std::vector<JsonMember>> {
+  Splitter in(text);
+  std::vector<JsonMember> out;
+  const auto ok = splitParts(in, '{', '}', [&] {
+    auto name = in.takeValue();
+    if (name.size() < 2 || name.front() != '"' || name.back() != '"' ||
+        !in.consume(':'))
+      return false;
+    name = name.substr(1, name.size() - 2);
+    out.push_back({name, in.takeValue()});
+    return !out.back().Value.empty();
+  });
+  if (!ok)
+    return absl::InvalidArgumentError("not a JSON object");
+  return out;
+}
+
+auto findJsonMember(const std::vector<JsonMember> &members,
+                    std::string_view name) -> absl::StatusOr<std::string_view> {
+  const auto it =
+      std::find_if(members.rbegin(), members.rend(),
+                   [&](const auto &member) { return member.Name == name; });
+  if (it == members.rend())
+    return absl::NotFoundError("JSON member '" + std::string(name) +
+                               "' is missing");
+  return it->Value;
+}
+
+} // namespace boragebridge
--- a/src/net/json_text.h
+++ b/src/net/json_text.h
@@ -9,6 +9,7 @@
 #include <boost/json.hpp>
 
 #include <string>
+#include <string_view>
 
 namespace boragebridge {
 
@@ -22,13 +23,14 @@
 /// Parses \p text and returns the result of \p read for the parsed value.
 /// Returns InvalidArgument when \p text is not JSON or when \p read throws.
 template <typename Read>
-auto readJson(const std::string &text, Read read,
+auto readJson(std::string_view text, Read read,
               const boost::json::parse_options &opt = {})
     -> absl::StatusOr<decltype(read(boost::json::value()))> {
   boost::system::error_code ec;
   // Lists have thousands of values, which are all freed together.
   boost::json::monotonic_resource memory;
-  const auto v = boost::json::parse(text, ec, &memory, opt);
+  const auto v =
+      boost::json::parse({text.data(), text.size()}, ec, &memory, opt);
   if (ec)
     return absl::InvalidArgumentError("not JSON: " + ec.message());
   try {
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -142,6 +142,7 @@
       soFar.CurrentVersion = r->Objects.CurrentVersion;
     for (auto &it : r->Objects.Events)
       soFar.Events.push_back(std::move(it));
+    soFar.Unreadable += r->Objects.Unreadable;
     if (r->Next.empty())
       return done(std::move(soFar));
     listPage(format, prefix, r->Next, std::move(soFar), std::move(done));
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -68,6 +68,7 @@
   recordAnswer();
   NeedsList = false;
   Version = r->CurrentVersion;
+  logUnreadable(*r);
   Handlers.OnList(*r);
 }
 
@@ -86,6 +87,7 @@
   if (r->CurrentVersion < Version)
     return;
   Version = r->CurrentVersion;
+  logUnreadable(*r);
   if (r->Events.empty()) {
     if (Handlers.OnUnchanged)
       Handlers.OnUnchanged(Version);
@@ -115,6 +117,14 @@
     Handlers.OnRecovered();
 }
 
+auto ObjectWatcher::logUnreadable(const ObjectList &l) -> void {
+  if (l.Unreadable > 0)
+    Ctx.Log.write(events::EntriesUnreadable,
+                  {{"prefix", Options.Prefix},
+                   {"count", std::to_string(l.Unreadable)},
+                   {"version", std::to_string(l.CurrentVersion)}});
+}
+
 auto ObjectWatcher::onFailure(const absl::Status &s) -> void {
   if (Failures == 0)
     Ctx.Log.write(events::WatchLost, {{"prefix", Options.Prefix},
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -111,6 +111,7 @@
   auto onFailure(const absl::Status &s) -> void;
   auto onHistoryGone() -> void;
   auto recordAnswer() -> void;
+  auto logUnreadable(const ObjectList &l) -> void;
 
   const WatcherContext Ctx;
   const WatcherOptions Options;
--- a/src/store/platform_events.h
+++ b/src/store/platform_events.h
@@ -15,6 +15,8 @@
 inline constexpr LogEvent WatchHistoryGone{1304, Severity::Info,
                                            "watch_history_gone"};
 inline constexpr LogEvent StoreSilent{1305, Severity::Warning, "store_silent"};
+inline constexpr LogEvent EntriesUnreadable{1306, Severity::Warning,
+                                            "entries_unreadable"};
 
 } // namespace boragebridge::events
 
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -102,6 +102,21 @@
   BOOST_TEST(!Directory.mayOpen(*find("i-1"), Time.now()));
 }
 
+// An entry that the JSON parser refuses failed the whole watch, so a draining
+// upstream kept getting new flows.
+BOOST_AUTO_TEST_CASE(UnreadableEntryDoesNotHideADrainingUpstream) {
+  start();
+  const auto page = users::ObjectDialect().parsePage("servers/", R"({"events":[
+        {"deleted":false,"object":{"meta":{"name":"i-3","revision":11},
+          "spec":{"service":"s","version":"\ud83c"}}},
+        {"deleted":false,"object":{"meta":{"name":"i-1","revision":12},
+          "spec":)" + upstreamText(1, "draining") + R"(}}],"atRev":12})");
+  BOOST_TEST_REQUIRE(page.ok());
+  Store.answer("servers/", page->Objects);
+  BOOST_TEST(!Directory.mayOpen(*find("i-1"), Time.now()));
+  BOOST_TEST(Directory.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AppliesAndLiftsWithdrawals) {
   start();
   Store.answer("evacuations/",
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -46,6 +46,36 @@
     BOOST_TEST(!upstream(it).ok(), it);
 }
 
+// A record of another writer with a number out of range names no upstream, and
+// must not throw out of the decoder.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreRejected) {
+  const auto record = [](const std::string &port, const std::string &slots,
+                         const std::string &cold, const std::string &born) {
+    return upstream(R"({"service":"s","address":"10.128.0.9:)" + port +
+                    R"(","zone":"p","slots":)" + slots +
+                    R"(,"state":"ready","warmupLeftMs":)" + cold +
+                    R"(,"born":)" + born + "}");
+  };
+  BOOST_TEST(record("80", "2", "0", "1").ok());
+  for (const auto *it : {"0", "65536", "70000", "-1", "99999999999999999999"})
+    BOOST_TEST(!record(it, "2", "0", "1").ok(), it);
+  for (const auto *it : {"4294967296", "1e30", "1e999", "-1", "2.5"})
+    BOOST_TEST(!record("80", it, "0", "1").ok(), it);
+  for (const auto *it : {"1e999", "-1e300"})
+    BOOST_TEST(!record("80", "2", it, "1").ok(), it);
+  for (const auto *it : {"1e30", "9223372036854775808", "1e999"})
+    BOOST_TEST(!record("80", "2", "0", it).ok(), it);
+  // The largest finite numbers must not overflow in the conversion.
+  BOOST_TEST(record("80", "2", "1.7e308", "9223372036854775807").ok());
+}
+
+BOOST_AUTO_TEST_CASE(DeeplyNestedRecordIsRejected) {
+  constexpr std::size_t Depth = 100'000;
+  BOOST_TEST(!upstream(R"({"service":)" + std::string(Depth, '[') +
+                       std::string(Depth, ']') + "}")
+                  .ok());
+}
+
 BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded) {
   const auto r = RecordCodec().decodeConfiguration({"config/main",
                                                     R"({"version":7,"routes":[
