Limit the answer to a watch, and list the objects instead

The limit was 64 MiB for all answers.

Change: the answer to a watch or poll is limited to 4 MiB; the body of a longer one is not read. A watch is then OutOfRange, which readers treat like a history that is gone: they list the objects, and a list has only the last version. A poll is DataLoss, which shows changes to the monitor of the watches.

Tests: TooLongAnswerToAWatchIsOutOfRange, TooLongAnswerToAPollIsDataLoss (before, the answer was read whole), FailsWatchThatMissesTooManyChangesForAPoll.

--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -12,7 +12,8 @@
 ///  - FailedPrecondition: the view of the mirror that was asked is
 ///    unconfirmed.
 ///  - OutOfRange: a watch starts at a version before the history that the store
-///    keeps.
+///    keeps, or has missed more changes than the client reads at once. The
+///    objects must be listed.
 ///  - Cancelled: the client has ended a watch, which may be repeated at once.
 ///  - ResourceExhausted: the store's or the client's rate limit is exceeded.
 #ifndef BORAGEBRIDGE_PLATFORM_CLIENT_H
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -230,8 +230,9 @@
   ++Polls;
   Store.poll(Adapter.Records->withdrawalPrefix(), AnyVersion, PollTimeout,
              [done = std::move(done)](const auto &r) {
-               // That the history is gone is an answer as well.
-               done(r.ok() || absl::IsOutOfRange(r.status()));
+               // That the history is gone or too long is an answer as well.
+               done(r.ok() || absl::IsOutOfRange(r.status()) ||
+                    absl::IsDataLoss(r.status()));
              });
 }
 
--- a/src/store/exchange_on_stream.h
+++ b/src/store/exchange_on_stream.h
@@ -19,9 +19,10 @@
 auto connectTo(boost::beast::tcp_stream &stream, const Endpoint &to)
     -> boost::asio::awaitable<absl::Status>;
 
-/// Sends \p request and reads the response, of at most \p limit bytes. Any
-/// failure is DeadlineExceeded: from the first byte sent until the response is
-/// complete, it is unknown whether the request took effect.
+/// Sends \p request and reads the response. A body of more than \p limit bytes
+/// is DataLoss; it is not read. Any other failure is DeadlineExceeded: from
+/// the first byte sent until the response is complete, it is unknown whether
+/// the request took effect.
 template <typename Stream>
 auto exchangeOn(Stream &stream, StoreHttpRequest request, std::size_t limit)
     -> StoreExchangeResult {
@@ -37,6 +38,8 @@
   parser.body_limit(limit);
   co_await http::async_read(stream, buf, parser,
                             asio::redirect_error(asio::use_awaitable, ec));
+  if (ec == http::error::body_limit)
+    co_return absl::DataLossError("the response is too long");
   if (ec)
     co_return absl::DeadlineExceededError(ec.message());
   co_return parser.release();
--- a/src/store/http_exchange.h
+++ b/src/store/http_exchange.h
@@ -30,8 +30,9 @@
 };
 
 /// Runs one exchange with \p to over a new TCP connection, on \p executor.
-/// Errors: Unavailable when nothing was sent, DeadlineExceeded when it is
-/// unknown whether the request took effect.
+/// Errors: Unavailable when nothing was sent, DataLoss when the response is
+/// too long, DeadlineExceeded when it is unknown whether the request took
+/// effect.
 auto exchangePlain(boost::asio::any_io_executor executor, Endpoint to,
                    StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult;
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -51,8 +51,9 @@
   return inflate(r.body(), maxBytes);
 }
 
-/// Returns the parsed value of a response, or the error. A malformed body is
-/// DeadlineExceeded, as a write may have taken effect.
+/// Returns the parsed value of a response, or the error. A body that is longer
+/// than \p maxBytes is DataLoss. A malformed body is DeadlineExceeded, as a
+/// write may have taken effect.
 template <typename T, typename Parse>
 static auto read(absl::StatusOr<StoreHttpResponse> r, std::size_t maxBytes,
                  Parse parse) -> absl::StatusOr<T> {
@@ -61,6 +62,8 @@
   if (auto s = statusOf(*r); !s.ok())
     return s;
   const auto body = takeBody(*r, maxBytes);
+  if (absl::IsResourceExhausted(body.status()))
+    return absl::DataLossError(body.status().message());
   absl::StatusOr<T> value = body.ok() ? parse(*body) : body.status();
   if (!value.ok())
     return absl::DeadlineExceededError("malformed response: " +
@@ -74,8 +77,9 @@
 HttpPlatform::~HttpPlatform() = default;
 
 template <typename T, typename Parse>
-auto HttpPlatform::run(const StoreRequest &request, Duration timeout,
-                       Parse parse, Callback<T> done) -> void {
+auto HttpPlatform::run(const StoreRequest &request,
+                       const ExchangeLimits &limits, Parse parse,
+                       Callback<T> done) -> void {
   constexpr unsigned Http11 = 11;
   StoreHttpRequest message(http::string_to_verb(request.Method), request.Target,
                            Http11);
@@ -88,27 +92,27 @@
   message.keep_alive(false);
   message.body() = request.Body;
   message.prepare_payload();
-  asio::co_spawn(
-      Io,
-      Settings.Transport(Io.get_executor(), Settings.Address,
-                         std::move(message), {timeout, Settings.ResponseBytes}),
-      [parse = std::move(parse), done = std::move(done),
-       maxBytes = Settings.ResponseBytes, alive = std::weak_ptr<bool>(Alive)](
-          const std::exception_ptr &failure,
-          absl::StatusOr<StoreHttpResponse> r) {
-        if (alive.expired())
-          return;
-        if (failure != nullptr)
-          done(absl::DeadlineExceededError(
-              "the HTTP exchange threw an exception"));
-        else
-          done(read<T>(std::move(r), maxBytes, parse));
-      });
+  asio::co_spawn(Io,
+                 Settings.Transport(Io.get_executor(), Settings.Address,
+                                    std::move(message), limits),
+                 [parse = std::move(parse), done = std::move(done),
+                  maxBytes = limits.ResponseBytes,
+                  alive = std::weak_ptr<bool>(Alive)](
+                     const std::exception_ptr &failure,
+                     absl::StatusOr<StoreHttpResponse> r) {
+                   if (alive.expired())
+                     return;
+                   if (failure != nullptr)
+                     done(absl::DeadlineExceededError(
+                         "the HTTP exchange threw an exception"));
+                   else
+                     done(read<T>(std::move(r), maxBytes, parse));
+                 });
 }
 
 auto HttpPlatform::get(std::string key, Callback<StoredObject> done) -> void {
   run<StoredObject>(
-      Settings.Dialect->get(key), Settings.Timeout,
+      Settings.Dialect->get(key), limits(),
       [dialect = Settings.Dialect, key](const std::string &body) {
         return dialect->parseObject(key, body);
       },
@@ -147,15 +151,14 @@
       return done(std::move(soFar));
     listPage(format, prefix, r->Next, std::move(soFar), std::move(done));
   };
-  run<StorePage>(request, Settings.Timeout, std::move(parse),
-                 std::move(onPage));
+  run<StorePage>(request, limits(), std::move(parse), std::move(onPage));
 }
 
 auto HttpPlatform::put(std::string key, std::string value,
                        ObjectVersion expected, Callback<ObjectVersion> done)
     -> void {
   run<ObjectVersion>(
-      Settings.Dialect->put(key, value, expected), Settings.Timeout,
+      Settings.Dialect->put(key, value, expected), limits(),
       [dialect = Settings.Dialect](const std::string &body) {
         return dialect->parseVersion(body);
       },
@@ -165,7 +168,7 @@
 auto HttpPlatform::remove(std::string key, ObjectVersion expected,
                           Callback<ObjectVersion> done) -> void {
   run<ObjectVersion>(
-      Settings.Dialect->remove(key, expected), Settings.Timeout,
+      Settings.Dialect->remove(key, expected), limits(),
       [dialect = Settings.Dialect](const std::string &body) {
         return dialect->parseVersion(body);
       },
@@ -176,7 +179,7 @@
                                 const std::string &prefix, Duration timeout,
                                 Callback<ObjectList> done) -> void {
   run<StorePage>(
-      request, timeout,
+      request, {timeout, Settings.WatchResponseBytes},
       [dialect = Settings.Dialect, prefix](const std::string &body) {
         return dialect->parsePage(prefix, body);
       },
@@ -191,7 +194,13 @@
 auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
                          Callback<ObjectList> done) -> void {
   runForEvents(Settings.Dialect->watch(prefix, after, wait), prefix,
-               wait + Settings.WatchGrace, std::move(done));
+               wait + Settings.WatchGrace,
+               [done = std::move(done)](absl::StatusOr<ObjectList> r) {
+                 if (absl::IsDataLoss(r.status()))
+                   done(absl::OutOfRangeError(r.status().message()));
+                 else
+                   done(std::move(r));
+               });
 }
 
 auto HttpPlatform::poll(const std::string &prefix, ObjectVersion after,
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -48,6 +48,9 @@
   bool AcceptsDeflate = false;
   /// Maximum size of a response body, in bytes, after decompression.
   std::size_t ResponseBytes = std::size_t{64} << 20;
+  /// The same for the response to a watch. A store may return every version of
+  /// a large object since a watch was interrupted; a list has only the last.
+  std::size_t WatchResponseBytes = std::size_t{4} << 20;
 };
 
 /// The client. All calls and callbacks are made on the thread that runs \p io.
@@ -76,6 +79,7 @@
   /// Reads the changes below \p prefix after \p after without waiting for new
   /// ones. The result may be out of date. This is a cheap way to find out
   /// whether the store answers within \p timeout, and whether a watch was lost.
+  /// DataLoss if there are more changes than the client reads at once.
   auto poll(const std::string &prefix, ObjectVersion after, Duration timeout,
             Callback<ObjectList> done) -> void;
 
@@ -91,8 +95,12 @@
   /// Runs \p request, parses the body of a successful response with \p parse
   /// and calls \p done with the result.
   template <typename T, typename Parse>
-  auto run(const StoreRequest &request, Duration timeout, Parse parse,
-           Callback<T> done) -> void;
+  auto run(const StoreRequest &request, const ExchangeLimits &limits,
+           Parse parse, Callback<T> done) -> void;
+  /// The limits of a call that is neither a watch nor a poll.
+  auto limits() const -> ExchangeLimits {
+    return {Settings.Timeout, Settings.ResponseBytes};
+  }
   /// Runs a request whose response lists events below \p prefix.
   auto runForEvents(const StoreRequest &request, const std::string &prefix,
                     Duration timeout, Callback<ObjectList> done) -> void;
--- a/src/store/watch_monitor.cpp
+++ b/src/store/watch_monitor.cpp
@@ -39,8 +39,9 @@
 auto WatchMonitor::onPoll(ObjectWatcher &watcher, TimePoint sentAt,
                           const absl::StatusOr<ObjectList> &r) -> void {
   PollOpen = false;
-  if (r.ok()) {
-    if (r->Events.empty() || Lagging != nullptr)
+  if (r.ok() || absl::IsDataLoss(r.status())) {
+    const auto hasChanges = !r.ok() || !r->Events.empty();
+    if (!hasChanges || Lagging != nullptr)
       return;
     constexpr int RoundTrips = 3;
     const auto now = Time.now();
--- a/src/store/watch_monitor.h
+++ b/src/store/watch_monitor.h
@@ -40,7 +40,7 @@
   /// Reads the changes below a prefix after a version from the store, without
   /// waiting for new ones. The result may be out of date. Has to call back
   /// exactly once, well within a second, with an error when the store does not
-  /// respond.
+  /// respond, and with DataLoss when there are too many changes to read.
   using Poll = std::function<void(const std::string &, ObjectVersion,
                                   PlatformClient::Callback<ObjectList>)>;
 
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -26,6 +26,8 @@
 
 /// A server on loopback that answers one request, and a client of it.
 struct HttpPlatformFixture {
+  static constexpr std::size_t WatchResponseBytes = 10'000;
+
   asio::io_context Io;
   asio::ip::tcp::acceptor Acceptor{Io, {asio::ip::address_v4::loopback(), 0}};
   asio::ip::tcp::socket Peer{Io};
@@ -38,6 +40,7 @@
     HttpPlatformSettings settings;
     settings.Address = {0x7F000001, Acceptor.local_endpoint().port()};
     settings.Timeout = std::chrono::milliseconds(300);
+    settings.WatchResponseBytes = WatchResponseBytes;
     Client.emplace(Io, settings);
   }
 
@@ -63,6 +66,14 @@
     return result;
   }
 
+  auto watch() -> absl::StatusOr<ObjectList> {
+    absl::StatusOr<ObjectList> result = absl::UnknownError("no callback");
+    Client->watch("k", 1, std::chrono::milliseconds(100),
+                  [&](auto r) { result = std::move(r); });
+    Io.run();
+    return result;
+  }
+
   auto put() -> absl::StatusOr<ObjectVersion> {
     absl::StatusOr<ObjectVersion> result = absl::UnknownError("no callback");
     Client->put("k", "v\"1", 7, [&](auto r) { result = std::move(r); });
@@ -94,6 +105,32 @@
   BOOST_TEST(Seen.body() == R"({"value":"v\"1"})");
 }
 
+// A watch that continues after an interruption may be answered with every
+// version of a large object since; the process then exceeded its memory. The
+// list, which has only the last version, is read instead.
+BOOST_AUTO_TEST_CASE(TooLongAnswerToAWatchIsOutOfRange) {
+  serve(Behaviour::Answer, 200, std::string(WatchResponseBytes + 1, ' '));
+  BOOST_TEST(absl::IsOutOfRange(watch().status()));
+}
+
+BOOST_AUTO_TEST_CASE(TooLongAnswerToAPollIsDataLoss) {
+  serve(Behaviour::Answer, 200, std::string(WatchResponseBytes + 1, ' '));
+  absl::StatusOr<ObjectList> result = absl::UnknownError("no callback");
+  Client->poll("k", 1, std::chrono::seconds(1),
+               [&](auto r) { result = std::move(r); });
+  Io.run();
+  BOOST_TEST(absl::IsDataLoss(result.status()));
+}
+
+BOOST_AUTO_TEST_CASE(OtherAnswersMayBeLongerThanThatToAWatch) {
+  const std::string value(WatchResponseBytes + 1, 'x');
+  serve(Behaviour::Answer, 200,
+        R"({"key":"config/a b","value":")" + value + R"(","version":9})");
+  const auto r = get();
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST(r->Value == value);
+}
+
 BOOST_AUTO_TEST_CASE(WatchReportsRemovals) {
   serve(Behaviour::Answer, 200,
         R"({"current_version":12,"objects":[
--- a/test/store/watch_monitor_test.cpp
+++ b/test/store/watch_monitor_test.cpp
@@ -139,6 +139,18 @@
   BOOST_TEST(B.isReachable());
 }
 
+// A poll whose answer is too long shows changes as well.
+BOOST_AUTO_TEST_CASE(FailsWatchThatMissesTooManyChangesForAPoll) {
+  advance(milliseconds(500));
+  takePoll().Done(absl::DataLossError("the response is too long"));
+  advance(milliseconds(500));
+  takePoll().Done(ObjectList{{}, 9});
+  BOOST_TEST(A.isReachable());
+  advance(milliseconds(500));
+  BOOST_TEST(!A.isReachable());
+  BOOST_TEST(B.isReachable());
+}
+
 // A slow store answers watches late as well. With a store that took 240 ms to
 // answer, watches that delivered a change after the next poll were failed
 // repeatedly, in scenario inc-a02f of cenacolo-bridge-grown.
