Share the answers of a mirror among readers, and limit their time

Requests to an instance could have a body of 8 MiB, though none has more than an address.

Change: readers that wait for the same change from the same version share one body, which is formatted once; HttpResponse has a shared body for that, and the compressed lists use it as well. A reader of the mirror has 5 s.

Tests: ReadersThatWaitTogetherShareOneBody, BodyIsSharedOnlyForTheSameChanges, SharedBodyIsSentAndReleased; OverlongBodyIsRefusedByItsLength now uses the limit of the server's options. The interface is new, so none compiles before.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -36,6 +36,14 @@
 /// there is no other source while the store is unavailable.
 constexpr auto AdoptionTimeout = std::chrono::milliseconds(1500);
 constexpr auto MirrorTimeout = std::chrono::milliseconds(500);
+/// After this time a client that does not send its request, or does not take
+/// its response, is given up.
+constexpr auto ServerTimeout = std::chrono::seconds(30);
+/// The same for readers of the mirror. These give up their calls sooner, and
+/// the responses may be long.
+constexpr auto MirrorServerTimeout = std::chrono::seconds(5);
+/// No request has a longer body than an address.
+constexpr std::size_t RequestBytes = 1024;
 /// Path at which an instance accepts advertisements of mirrors. The body is the
 /// address of the mirror.
 constexpr auto SeedPath = "/v1/seed";
@@ -93,7 +101,7 @@
 
 private:
   auto listen() -> absl::Status;
-  auto listenHttp(const Endpoint &at, const HttpHandler &h,
+  auto listenHttp(const Endpoint &at, Duration timeout, const HttpHandler &h,
                   std::unique_ptr<HttpServer> &out) -> absl::Status;
   auto connectTo(const Endpoint &mirror, MirrorView view)
       -> std::unique_ptr<PlatformClient>;
@@ -177,23 +185,28 @@
   auto handler = [this](const HttpRequest &r, const HttpRespond &respond) {
     respond(handleRequest(r));
   };
-  if (auto s = listenHttp(Settings.Readiness, handler, Readiness); !s.ok())
+  if (auto s =
+          listenHttp(Settings.Readiness, ServerTimeout, handler, Readiness);
+      !s.ok())
     return s;
   // Packets are forwarded even if the metrics or the mirror cannot be served.
   for (const auto &s :
-       {listenHttp(Settings.Metrics, handler, MetricsServer),
-        listenHttp(Settings.Mirror, makePeerApi(), MirrorServer)})
+       {listenHttp(Settings.Metrics, ServerTimeout, handler, MetricsServer),
+        listenHttp(Settings.Mirror, MirrorServerTimeout, makePeerApi(),
+                   MirrorServer)})
     if (!s.ok())
       Log.write(events::ListenFailed, {{"why", std::string(s.message())}});
   Socket->start([this](auto datagram, const auto &) { onDatagram(datagram); });
   return absl::OkStatus();
 }
 
-auto EdgeServer::listenHttp(const Endpoint &at, const HttpHandler &h,
+auto EdgeServer::listenHttp(const Endpoint &at, Duration timeout,
+                            const HttpHandler &h,
                             std::unique_ptr<HttpServer> &out) -> absl::Status {
   if (at.Port == 0)
     return absl::OkStatus();
-  auto server = HttpServer::open(Io, at, h);
+  auto server = HttpServer::open(
+      Io, at, h, {.Timeout = timeout, .RequestBytes = RequestBytes});
   if (!server.ok())
     return server.status();
   out = *std::move(server);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace boragebridge {
@@ -43,6 +44,9 @@
   /// Additional fields. A response to send need not contain Content-Type and
   /// the fields of the transport, which the server sets.
   HttpHeaders Headers;
+  /// If set, a server sends this in place of Body. For a body that is sent to
+  /// many clients.
+  std::shared_ptr<const std::string> SharedBody = nullptr;
 };
 
 /// Sends the response to one request. May be called once, during the handler's
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -50,7 +50,7 @@
 
   auto read() -> void {
     Parser.emplace();
-    Parser->body_limit(MaxHttpBodyBytes);
+    Parser->body_limit(Owner->Options.RequestBytes);
     Parser->header_limit(MaxHttpHeaderBytes);
     Stream.expires_after(Owner->Options.Timeout);
     http::async_read(
@@ -98,7 +98,10 @@
     for (const auto &[name, value] : out.Headers)
       Response->set(name, value);
     Response->keep_alive(KeepAlive);
-    Response->body() = std::move(out.Body);
+    Body = out.SharedBody != nullptr
+               ? std::move(out.SharedBody)
+               : std::make_shared<const std::string>(std::move(out.Body));
+    Response->body() = {Body->data(), Body->size()};
     Response->prepare_payload();
     Stream.expires_after(Owner->Options.Timeout);
     http::async_write(
@@ -109,6 +112,8 @@
 
   auto onWritten(beast::error_code ec) -> void {
     Writing = false;
+    Response.reset();
+    Body.reset();
     if (Owner->Closed || ec)
       return;
     if (KeepAlive)
@@ -120,7 +125,9 @@
   std::shared_ptr<Impl> Owner;
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
-  std::optional<http::response<http::string_body>> Response;
+  std::optional<http::response<http::span_body<const char>>> Response;
+  /// The body of Response.
+  std::shared_ptr<const std::string> Body;
   bool KeepAlive = false;
   bool Writing = false;
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -21,6 +21,8 @@
   std::size_t MaxConnections = 256;
   /// The longest time to receive one request or to send one response.
   Duration Timeout = std::chrono::seconds(30);
+  /// Maximum size of the body of a request, in bytes.
+  std::size_t RequestBytes = MaxHttpBodyBytes;
 };
 
 /// Counters of an HttpServer since it was opened.
--- a/src/store/mirror_api.cpp
+++ b/src/store/mirror_api.cpp
@@ -9,7 +9,7 @@
 namespace boragebridge {
 
 /// The longest time for which a reader may keep a watch open.
-static constexpr auto MaxWait = std::chrono::seconds(30);
+static constexpr std::chrono::milliseconds MaxWait{30'000};
 
 static auto toStatus(const absl::Status &s) -> HttpStatus {
   if (s.ok())
@@ -35,15 +35,25 @@
 
 namespace {
 
-/// Answers lists. Many readers ask for the same list when a data centre starts,
-/// so the compressed form is kept until an object changes.
-class ListResponder {
+using SharedText = std::shared_ptr<const std::string>;
+
+auto jsonResponse(SharedText body, HttpHeaders headers = {}) -> HttpResponse {
+  return {static_cast<unsigned>(HttpStatus::Ok),
+          "application/json",
+          {},
+          std::move(headers),
+          std::move(body)};
+}
+
+/// Formats responses. Many readers get the same response, as they start or wait
+/// for a change at the same time, so a body is formatted once and shared.
+class ResponseFormatter {
 public:
   /// \p mirror outlives the object.
-  explicit ListResponder(const ObjectMirror &mirror) : Mirror(mirror) {}
+  explicit ResponseFormatter(const ObjectMirror &mirror) : Mirror(mirror) {}
 
-  auto respond(const HttpRequest &r, const std::string &prefix,
-               bool allowUnconfirmed) -> HttpResponse {
+  auto list(const HttpRequest &r, const std::string &prefix,
+            bool allowUnconfirmed) -> HttpResponse {
     if (!acceptsDeflate(r))
       return toResponse(Mirror.list(prefix, allowUnconfirmed));
     if (const auto s = Mirror.mayList(prefix, allowUnconfirmed); !s.ok())
@@ -54,47 +64,69 @@
           deflate(formatObjectList(*Mirror.list(prefix, allowUnconfirmed)));
       if (!body.ok())
         return toResponse(body.status());
-      compressed = {n, *std::move(body)};
+      compressed = {n, std::make_shared<const std::string>(*std::move(body))};
     }
-    return {static_cast<unsigned>(HttpStatus::Ok),
-            "application/json",
-            compressed.Body,
-            {{"Content-Encoding", std::string(DeflateEncoding)}}};
+    return jsonResponse(compressed.Body,
+                        {{"Content-Encoding", std::string(DeflateEncoding)}});
+  }
+
+  /// The response to a watch of \p prefix from version \p after on.
+  auto watch(const std::string &prefix, ObjectVersion after,
+             const absl::StatusOr<ObjectList> &r) -> HttpResponse {
+    if (!r.ok() || r->Events.empty())
+      return toResponse(r);
+    auto &last = Watches[prefix];
+    const auto n = Mirror.changeCount(prefix);
+    auto body = last.Body.lock();
+    if (body == nullptr || last.After != after || last.Changes != n) {
+      body = std::make_shared<const std::string>(formatObjectList(*r));
+      last = {after, n, body};
+    }
+    return jsonResponse(std::move(body));
   }
 
 private:
   struct CompressedList {
     std::uint64_t Changes = 0;
-    std::string Body;
+    SharedText Body;
+  };
+  /// The last response to a watch, while it is being sent.
+  struct WatchResponse {
+    ObjectVersion After = 0;
+    std::uint64_t Changes = 0;
+    std::weak_ptr<const std::string> Body;
   };
 
   const ObjectMirror &Mirror;
   std::map<std::string, CompressedList> Lists;
+  std::map<std::string, WatchResponse> Watches;
 };
 
 } // namespace
 
 auto makeMirrorApi(ObjectMirror &mirror, const Clock &time) -> HttpHandler {
-  return [&, lists = std::make_shared<ListResponder>(mirror)](
+  return [&, formatter = std::make_shared<ResponseFormatter>(mirror)](
              const HttpRequest &r, const HttpRespond &respond) {
     const auto target = parseUrlTarget(r.Target);
     const auto prefix = target.text("prefix");
     if (r.Method == "GET" && target.Path == "/v1/objects")
       return respond(
-          lists->respond(r, prefix, target.number("unconfirmed") != 0));
+          formatter->list(r, prefix, target.number("unconfirmed") != 0));
     if (r.Method != "GET" || target.Path != "/v1/watch")
       return respond({static_cast<unsigned>(HttpStatus::NotFound),
                       "application/json",
                       "{}",
                       {}});
-    const auto wait = std::min<Duration>(
-        std::chrono::milliseconds(target.number("wait_ms")), MaxWait);
-    if (wait == Duration::zero())
+    const auto after = target.number("after");
+    const auto waitMs =
+        std::min<std::uint64_t>(target.number("wait_ms"), MaxWait.count());
+    if (waitMs == 0)
       return respond(
-          toResponse(mirror.changes(prefix, target.number("after"))));
-    mirror.watch(prefix, target.number("after"), time.now() + wait,
-                 [respond](const absl::StatusOr<ObjectList> &l) {
-                   respond(toResponse(l));
+          formatter->watch(prefix, after, mirror.changes(prefix, after)));
+    mirror.watch(prefix, after, time.now() + std::chrono::milliseconds(waitMs),
+                 [respond, formatter, prefix,
+                  after](const absl::StatusOr<ObjectList> &l) {
+                   respond(formatter->watch(prefix, after, l));
                  });
   };
 }
--- a/test/net/http_server_test.cpp
+++ b/test/net/http_server_test.cpp
@@ -18,17 +18,22 @@
 
 struct HttpFixture : IoFixture {
   HttpRespond Pending;
+  std::shared_ptr<const std::string> Shared =
+      std::make_shared<const std::string>("shared");
   HttpServerOptions Options;
   std::unique_ptr<HttpServer> Server = open();
 
   auto open() -> std::unique_ptr<HttpServer> {
     Options.MaxConnections = 3;
     Options.Timeout = std::chrono::milliseconds(300);
+    Options.RequestBytes = 1000;
     return HttpServer::open(
                Io, AnyLoopbackPort,
                [this](const HttpRequest &r, HttpRespond respond) {
                  if (r.Target == "/later")
                    Pending = std::move(respond);
+                 else if (r.Target == "/shared")
+                   respond({200, "text/plain", {}, {}, Shared});
                  else
                    respond({200,
                             "text/plain",
@@ -64,6 +69,15 @@
   BOOST_TEST(r->Headers["etag"] == "7");
 }
 
+BOOST_AUTO_TEST_CASE(SharedBodyIsSentAndReleased) {
+  for (int i = 0; i < 2; ++i) {
+    const auto r = call({"GET", "/shared", "", {}});
+    BOOST_REQUIRE(r.ok());
+    BOOST_TEST(r->Body == "shared");
+  }
+  BOOST_TEST(runUntil([&] { return Shared.use_count() == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedRequestGets400) {
   auto s = connect();
   boost::asio::write(s, boost::asio::buffer(std::string("nonsense\r\n\r\n")));
@@ -79,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(OverlongBodyIsRefusedByItsLength) {
   auto s = connect();
   const auto head = "PUT / HTTP/1.1\r\nContent-Length: " +
-                    std::to_string(MaxHttpBodyBytes + 1) + "\r\n\r\n";
+                    std::to_string(Options.RequestBytes + 1) + "\r\n\r\n";
   boost::asio::write(s, boost::asio::buffer(head));
   BOOST_TEST(runUntil([&] { return Server->counts().Refused == 1; }));
 }
--- a/test/store/mirror_api_test.cpp
+++ b/test/store/mirror_api_test.cpp
@@ -25,7 +25,8 @@
     get("/v1/objects?prefix=p%2F", true);
     BOOST_TEST(Response.Headers["Content-Encoding"] == DeflateEncoding);
     constexpr std::size_t Limit = std::size_t{1} << 20;
-    const auto body = inflate(Response.Body, Limit);
+    BOOST_TEST_REQUIRE(Response.SharedBody != nullptr);
+    const auto body = inflate(*Response.SharedBody, Limit);
     return body.ok() ? parseObjectList(*body) : body.status();
   }
 };
@@ -90,6 +91,40 @@
   BOOST_TEST(Response.Status == 410U);
 }
 
+// Each of many readers held a copy of a large configuration until its link had
+// taken it.
+BOOST_AUTO_TEST_CASE(ReadersThatWaitTogetherShareOneBody) {
+  Mirror.replace("p/", {{{{"p/a", "{}", 5}, false}}, 7});
+  std::vector<HttpResponse> responses;
+  for (int i = 0; i < 3; ++i)
+    Api({"GET", "/v1/watch?prefix=p%2F&after=7&wait_ms=1000", {}, {}},
+        [&](HttpResponse out) { responses.push_back(std::move(out)); });
+  Mirror.apply("p/", {{{{"p/b", "{}", 8}, false}}, 8});
+  BOOST_TEST_REQUIRE(responses.size() == 3U);
+  BOOST_TEST_REQUIRE(responses[0].SharedBody != nullptr);
+  BOOST_TEST(responses[0].SharedBody == responses[1].SharedBody);
+  BOOST_TEST(responses[0].SharedBody == responses[2].SharedBody);
+  const auto l = parseObjectList(*responses[0].SharedBody);
+  BOOST_TEST_REQUIRE(l.ok());
+  BOOST_TEST(l->Events.size() == 1U);
+  BOOST_TEST(l->CurrentVersion == 8U);
+}
+
+// A shared body must not reach a reader that is at another version.
+BOOST_AUTO_TEST_CASE(BodyIsSharedOnlyForTheSameChanges) {
+  Mirror.replace("p/", {{{{"p/a", "{}", 5}, false}}, 7});
+  Mirror.apply("p/", {{{{"p/b", "{}", 8}, false}}, 8});
+  get("/v1/watch?prefix=p%2F&after=7&wait_ms=0", false);
+  const auto first = Response.SharedBody;
+  BOOST_TEST_REQUIRE(first != nullptr);
+  Mirror.apply("p/", {{{{"p/c", "{}", 9}, false}}, 9});
+  get("/v1/watch?prefix=p%2F&after=7&wait_ms=0", false);
+  BOOST_TEST(parseObjectList(*Response.SharedBody)->Events.size() == 2U);
+  get("/v1/watch?prefix=p%2F&after=8&wait_ms=0", false);
+  BOOST_TEST(parseObjectList(*Response.SharedBody)->Events.size() == 1U);
+  BOOST_TEST(parseObjectList(*first)->Events.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
