Keep few clients of seeds while there is no view

An instance that has no view and asks one mirror after the other kept a client of each for as long as the store was away: about one a second, without a bound. It now keeps the last eight; calls to earlier ones have timed out.

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -6,6 +6,10 @@
 
 namespace boragebridge {
 
+/// Mirrors that may be asked at the same time. Calls to earlier ones have timed
+/// out by then.
+static constexpr std::size_t MaxSeedClients = 8;
+
 EdgeViews::EdgeViews(const Clock &time, RandomSource &random, EventLog &log,
                      MirroredPlatform &platform, const RecordFormat &format,
                      UpstreamDirectory &directory, ColdStartQuota &quota,
@@ -162,6 +166,8 @@
 
 auto EdgeViews::adoptFrom(const Endpoint &address) -> void {
   NextAdoption = Time.now() + Options.AdoptionInterval;
+  if (SeedClients.size() == MaxSeedClients)
+    SeedClients.pop_front();
   auto &client = *SeedClients.emplace_back(Platform.makeMirrorClient(address));
   for (const auto &it : Watchers) {
     const auto &prefix = it.first;
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -186,9 +186,9 @@
   std::size_t SeedIndex = 0;
   TimePoint NextAdvertisement;
   std::size_t AdvertisementRound = 0;
-  /// Clients of the mirrors that were asked for their views. Destroyed, with
-  /// their pending calls, when the views are complete.
-  std::vector<std::unique_ptr<PlatformClient>> SeedClients;
+  /// Clients of the last mirrors that were asked for their views. Destroyed,
+  /// with their pending calls, when the views are complete.
+  std::deque<std::unique_ptr<PlatformClient>> SeedClients;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -215,6 +215,24 @@
   BOOST_TEST(Peers[1]->OpenCalls.size() == 3U);
 }
 
+// An instance without a view kept a client of each mirror that it ever asked,
+// for as long as the store was away.
+BOOST_AUTO_TEST_CASE(KeepsFewClientsOfSeeds) {
+  EdgeViews views(Time, Random, Log, Platform, Format, Directory, Quota,
+                  {.Self = Self, .Seeds = {{1, 1}, {2, 1}}});
+  std::vector<std::weak_ptr<bool>> clients;
+  for (int i = 0; i < 100; ++i) {
+    Time.advance(milliseconds(1200));
+    views.tick(Time.now());
+    while (clients.size() < Peers.size())
+      clients.emplace_back(Peers[clients.size()]->Alive);
+  }
+  BOOST_TEST(clients.size() > 90U);
+  BOOST_TEST(std::count_if(clients.begin(), clients.end(),
+                           [](const auto &it) { return !it.expired(); }) == 8);
+  BOOST_TEST(!clients.back().expired());
+}
+
 // With 3,000 upstreams the store took over 400 ms to answer, so each start read
 // the lists of seeds in other data centres as well. Seen in the sweep of
 // cenacolo-bridge-grown.
--- a/test/store/scripted_store.h
+++ b/test/store/scripted_store.h
@@ -6,6 +6,7 @@
 #include "boragebridge/platform_client.h"
 
 #include <deque>
+#include <memory>
 
 namespace boragebridge {
 
@@ -59,6 +60,8 @@
   std::vector<std::pair<std::string, ObjectVersion>> Removed;
   std::deque<ListCall> OpenCalls;
   std::deque<std::pair<std::string, Callback<ObjectVersion>>> Puts;
+  /// Expires with the object.
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
 } // namespace boragebridge
