Read lists of mirrors whose values are not UTF-8

The store's pages may contain text that is not UTF-8, and instances pass values on as they are; but the list of a mirror was refused whole when one value was not UTF-8, so the readers gave up their parent and read the store.

Test: ValueThatIsNotUtf8KeepsList fails before, as the list is refused.

--- a/src/net/object_json.cpp
+++ b/src/net/object_json.cpp
@@ -38,8 +38,9 @@
 }
 
 auto parseObject(const std::string &body) -> absl::StatusOr<StoredObject> {
-  return readJson(body,
-                  [](const json::value &v) { return eventFromJson(v).Object; });
+  return readJson(
+      body, [](const json::value &v) { return eventFromJson(v).Object; },
+      allowInvalidUtf8());
 }
 
 auto formatObjectList(const ObjectList &l) -> std::string {
@@ -51,13 +52,16 @@
 }
 
 auto parseObjectList(const std::string &body) -> absl::StatusOr<ObjectList> {
-  return readJson(body, [](const json::value &v) {
-    ObjectList out;
-    out.CurrentVersion = v.at("current_version").to_number<ObjectVersion>();
-    for (const auto &it : v.at("objects").as_array())
-      out.Events.push_back(eventFromJson(it));
-    return out;
-  });
+  return readJson(
+      body,
+      [](const json::value &v) {
+        ObjectList out;
+        out.CurrentVersion = v.at("current_version").to_number<ObjectVersion>();
+        for (const auto &it : v.at("objects").as_array())
+          out.Events.push_back(eventFromJson(it));
+        return out;
+      },
+      allowInvalidUtf8());
 }
 
 auto formatVersion(ObjectVersion v) -> std::string {
--- a/test/net/object_json_test.cpp
+++ b/test/net/object_json_test.cpp
@@ -19,6 +19,20 @@
   BOOST_TEST(out->Events[1].Removed);
 }
 
+// A value of another writer that is not UTF-8 failed the whole list of a
+// mirror, so its readers gave the mirror up and read the store.
+BOOST_AUTO_TEST_CASE(ValueThatIsNotUtf8KeepsList) {
+  ObjectList in;
+  in.CurrentVersion = 9;
+  in.Events.push_back({{"a/b", "\"\xff\xfe\"", 7}, false});
+  in.Events.push_back({{"a/c\xc3", "{}", 8}, false});
+  const auto out = parseObjectList(formatObjectList(in));
+  BOOST_TEST_REQUIRE(out.ok());
+  BOOST_TEST_REQUIRE(out->Events.size() == 2U);
+  BOOST_TEST(out->Events[0].Object.Value == "\"\xff\xfe\"");
+  BOOST_TEST(out->Events[1].Object.Key == "a/c\xc3");
+}
+
 BOOST_AUTO_TEST_CASE(MalformedBodiesAreErrors) {
   for (const auto *it : {"", "{", "[]", "{}", R"({"version":"x"})",
                          R"({"version":-1})", R"({"version":1.5})"})
