Rank this instance by its record, as the others do

An instance whose capacity changed at a restart, and whose registration the store refused, ranked itself by its settings and was ranked by its old record by the others. Two instances could each take the other as parent; then neither read the store again.

Its own record, where there is one, now gives its rank. The new capacity counts as soon as the store has accepted it, for all instances alike.

Test: ChangedCapacityMakesNoCycle fails before: both have a parent.

--- a/src/edge/mirror_tree.cpp
+++ b/src/edge/mirror_tree.cpp
@@ -31,11 +31,17 @@
 
 auto MirrorTree::setMembers(const std::vector<MemberRecord> &all) -> void {
   Ranked.clear();
-  for (const auto &it : all)
-    if (it.DataCentre == Self.DataCentre && it.Name != Self.Name &&
-        it.Address.Port != 0)
+  // This instance has the rank that the others give it. With the rank of its
+  // settings, it and another one could each take the other as parent after its
+  // capacity has changed.
+  auto self = Self;
+  for (const auto &it : all) {
+    if (it.Name == Self.Name)
+      self.Capacity = it.Capacity;
+    else if (it.DataCentre == Self.DataCentre && it.Address.Port != 0)
       Ranked.push_back(it);
-  Ranked.push_back(Self);
+  }
+  Ranked.push_back(self);
   std::sort(Ranked.begin(), Ranked.end(), [](const auto &a, const auto &b) {
     return std::make_tuple(b.Capacity, hashName(a.Name), a.Name) <
            std::make_tuple(a.Capacity, hashName(b.Name), b.Name);
--- a/test/edge/mirror_tree_test.cpp
+++ b/test/edge/mirror_tree_test.cpp
@@ -58,6 +58,22 @@
   BOOST_TEST((tree.parent(TimePoint()) == all[1].Address));
 }
 
+// An instance that started again with less capacity, and could not register it,
+// ranked itself by its settings and was ranked by its old record by the others.
+// Each of two instances was the parent of the other, and neither read the
+// store.
+BOOST_AUTO_TEST_CASE(ChangedCapacityMakesNoCycle) {
+  const std::vector<MemberRecord> records{member(1, 500), member(2, 90)};
+  MirrorTree changed(member(1, 28));
+  changed.setMembers(records);
+  MirrorTree other(records[1]);
+  other.setMembers(records);
+  BOOST_TEST(!changed.parent(TimePoint()).has_value());
+  BOOST_TEST((other.parent(TimePoint()) == records[0].Address));
+  changed.setMembers({member(1, 28), records[1]});
+  BOOST_TEST((changed.parent(TimePoint()) == records[1].Address));
+}
+
 BOOST_AUTO_TEST_CASE(IgnoresOtherDataCentres) {
   MirrorTree tree(member(1, 28));
   tree.setMembers({member(1, 28), member(2, 500, 2)});
