Forward open flows on routes that this instance does not know yet

Cause: decidePacket() reset any packet without a route before it looked at the tag.

Change: only openings need the route. A packet of an open flow is forwarded by its tag or its pinned upstream, unless a configuration has removed the route; the directory remembers the last 4,096 removed ones.

Tests: OpenFlowOnUnknownRouteGoesOn fails before (reset, no_route); RemembersRemovedRoutesUpToALimit; ResetsFlowOfRemovedRoute holds as before.

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -40,7 +40,9 @@
       now - LastTick > Options.StaleOpeningThreshold)
     return {EdgeAction::Drop, EdgeReason::Stale};
   const auto *route = Directory.route(p.Flow.Service);
-  if (route == nullptr)
+  // An open flow on a route that is unknown, and was not removed, was opened by
+  // an instance with a newer configuration. Its tag is enough to forward it.
+  if (route == nullptr && (p.Opens || Directory.isRemovedRoute(p.Flow.Service)))
     return {EdgeAction::Reset, EdgeReason::NoRoute};
   return p.Opens ? forwardNewFlow(p, *route, now) : forwardEstablished(p, now);
 }
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -157,15 +157,33 @@
   if (c.Version < Config.Version)
     return false;
   Config = std::move(c);
-  Routes.clear();
-  for (std::size_t i = 0; i < Config.Routes.size(); ++i)
-    Routes.emplace(Config.Routes[i].Address, i);
+  indexRoutes();
   ColdRates.clear();
   for (const auto &it : Config.Services)
     ColdRates[raw(it.Service)] = it.ColdPerSecond;
   return true;
 }
 
+auto UpstreamDirectory::indexRoutes() -> void {
+  const auto before = std::exchange(Routes, {});
+  for (std::size_t i = 0; i < Config.Routes.size(); ++i) {
+    Routes.emplace(Config.Routes[i].Address, i);
+    RemovedRoutes.erase(Config.Routes[i].Address);
+  }
+  for (const auto &[address, index] : before)
+    if (!Routes.contains(address))
+      rememberRemoval(address);
+}
+
+auto UpstreamDirectory::rememberRemoval(const Endpoint &address) -> void {
+  RemovedRoutes.insert(address);
+  RemovalOrder.push_back(address);
+  while (RemovalOrder.size() > Options.MaxRemovedRoutes) {
+    RemovedRoutes.erase(RemovalOrder.front());
+    RemovalOrder.pop_front();
+  }
+}
+
 auto UpstreamDirectory::setWithdrawn(std::set<DataCentreId> all, TimePoint now)
     -> void {
   for (auto &it : Entries) {
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -26,6 +26,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace boragebridge {
 
@@ -60,6 +61,8 @@
   /// Maximum number of upstreams, including those that are gone; further ones
   /// are rejected.
   std::size_t MaxUpstreams = 300'000;
+  /// Removed routes that are remembered.
+  std::size_t MaxRemovedRoutes = 4096;
 };
 
 class UpstreamDirectory {
@@ -98,6 +101,11 @@
   auto configuration() const -> const EdgeConfiguration & { return Config; }
   /// The route at \p address, or null.
   auto route(const Endpoint &address) const -> const RouteRecord *;
+  /// Whether a configuration has removed the route at \p address. An address
+  /// without a route may otherwise be one that other instances know already.
+  auto isRemovedRoute(const Endpoint &address) const -> bool {
+    return RemovedRoutes.contains(address);
+  }
   /// The upstream that \p tag names, including those that are gone, or null.
   auto find(UpstreamTag tag) const -> const UpstreamLifetime *;
   /// The upstreams of \p service that are registered or not yet gone.
@@ -142,6 +150,11 @@
   /// service.
   auto rebuild() -> void;
   auto claimTag(const UpstreamLifetime &u) -> void;
+  /// Builds Routes from the configuration.
+  auto indexRoutes() -> void;
+  /// Remembers that the route at \p address was removed, and forgets the oldest
+  /// removals over the limit.
+  auto rememberRemoval(const Endpoint &address) -> void;
 
   UpstreamDirectoryOptions Options;
   /// A deque, because pointers to its upstreams must stay valid when it grows.
@@ -154,6 +167,10 @@
       ByService;
   bool ByServiceIsStale = false;
   std::unordered_map<Endpoint, std::size_t> Routes;
+  std::unordered_set<Endpoint> RemovedRoutes;
+  /// The elements of RemovedRoutes and routes that were added again, the oldest
+  /// removal first.
+  std::deque<Endpoint> RemovalOrder;
   std::unordered_map<std::uint64_t, double> ColdRates;
   EdgeConfiguration Config;
   std::set<DataCentreId> Withdrawn;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -162,6 +162,20 @@
   BOOST_TEST((d.Action == EdgeAction::Reset));
 }
 
+// An instance that had not read a new route yet reset the flows that others had
+// opened on it.
+BOOST_AUTO_TEST_CASE(OpenFlowOnUnknownRouteGoesOn) {
+  start({record("i-1", 1)});
+  auto p = data(1, tagOf("i-1", seconds(1000)));
+  p.Flow.Service.Port = 444;
+  const auto d = PacketForwarder.decide(p, now());
+  BOOST_TEST((d.Action == EdgeAction::Forward));
+  BOOST_TEST((d.Reason == EdgeReason::Tagged));
+  p = data(2, UpstreamTag{99});
+  p.Flow.Service.Port = 444;
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Drop));
+}
+
 BOOST_AUTO_TEST_CASE(ResetsOpeningWithoutUpstream) {
   start({});
   const auto d = PacketForwarder.decide(opening(1), now());
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -134,6 +134,34 @@
   BOOST_TEST(!Directory.isStable(now()));
 }
 
+BOOST_AUTO_TEST_CASE(RemembersRemovedRoutesUpToALimit) {
+  UpstreamDirectory directory({.MaxRemovedRoutes = 2});
+  const auto address = [](std::uint16_t port) {
+    return Endpoint{0xC6120001, port};
+  };
+  const auto configure = [&](std::uint64_t version,
+                             const std::vector<std::uint16_t> &ports) {
+    EdgeConfiguration c;
+    c.Version = version;
+    for (const auto it : ports)
+      c.Routes.push_back({"r", address(it), {{ServiceId{1}, 1}}});
+    BOOST_TEST(directory.setConfiguration(std::move(c)));
+  };
+  configure(1, {1, 2});
+  BOOST_TEST(!directory.isRemovedRoute(address(1)));
+  BOOST_TEST(!directory.isRemovedRoute(address(9)));
+  configure(2, {2, 3});
+  BOOST_TEST(directory.isRemovedRoute(address(1)));
+  configure(3, {1, 2, 3});
+  BOOST_TEST(!directory.isRemovedRoute(address(1)));
+  configure(4, {1, 3});
+  configure(5, {1});
+  configure(6, {});
+  BOOST_TEST(!directory.isRemovedRoute(address(2)));
+  BOOST_TEST(directory.isRemovedRoute(address(3)));
+  BOOST_TEST(directory.isRemovedRoute(address(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
