--- a/test/users/object_dialect_test.cpp
+++ b/test/users/object_dialect_test.cpp
@@ -96,10 +96,12 @@
 // The same for fields beside the value, which any writer may set as well.
 BOOST_AUTO_TEST_CASE(UnreadableFieldsOfAnEntryAreNotParsed) {
   for (const auto &it : unreadableValues()) {
-    const auto body = R"({"events":[{"deleted":false,"object":{"meta":{
-        "name":"i-1","revision":7,"finalizers":)" +
-                      it + R"(},"spec":{},"status":)" + it +
-                      R"(}}],"atRev":9})";
+    std::string body = R"({"events":[{"deleted":false,"object":{"meta":{
+        "name":"i-1","revision":7,"finalizers":)";
+    body += it;
+    body += R"(},"spec":{},"status":)";
+    body += it;
+    body += R"(}}],"atRev":9})";
     const auto r = ObjectDialect().parsePage("servers/", body);
     BOOST_TEST_REQUIRE(r.ok());
     BOOST_TEST(r->Objects.Events.size() == 1U);
