Let the lifetime that started last hold an address

Cause: of two lifetimes with one address, the one whose record arrived last took the address, and the other had ended for good. A record of an earlier lifetime that came back, or one of another writer without a start, so ended the living one at instances that had not seen the earlier lifetime end. Evidence: flow_reset with why=upstream_gone names the living upstream, after an upstream_changed for the other one with its address.

Change: the directory keeps all lifetimes of an address. The one that started last holds it until its record is missing for longer than the limit; a record without a start counts as the earliest. The holder follows from the present records, not from the order of the events, so instances agree. Open: a record of another writer with a start in the future.

Tests: HolderOfAnAddressDoesNotDependOnTheOrderOfEvents fails before for 3,526 of 5,248 orders; EarlierLifetimeTakesNoAddress, AddressReturnsWhenItsHolderIsGone and AddressIsFreeAfterItsHolderMoves fail before as well.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -9,19 +9,11 @@
 
 auto UpstreamDirectory::replaceUpstreams(const std::vector<UpstreamRecord> &all,
                                          TimePoint now) -> void {
-  // In order of start time, so that of two upstreams at one address the later
-  // one owns it.
-  std::vector<const UpstreamRecord *> ordered;
   std::unordered_set<std::string_view> names;
   for (const auto &it : all) {
-    ordered.push_back(&it);
     names.insert(it.Name);
+    apply(it, now);
   }
-  std::stable_sort(
-      ordered.begin(), ordered.end(),
-      [](const auto *a, const auto *b) { return a->StartedAt < b->StartedAt; });
-  for (const auto *it : ordered)
-    apply(*it, now);
   for (auto it = ByName.begin(); it != ByName.end();) {
     if (names.contains(it->first)) {
       ++it;
@@ -86,7 +78,7 @@
 
 auto UpstreamDirectory::add(const UpstreamRecord &r, TimePoint now) -> void {
   if (const auto it = ByName.find(r.Name); it != ByName.end())
-    endLifetime(it->second);
+    endLifetime(it->second, now);
   auto *entry = allocate();
   if (entry == nullptr)
     return;
@@ -97,7 +89,7 @@
   ByServiceIsStale = true;
   ByName[r.Name] = u.Index;
   claimTag(u);
-  claimAddress(r.Address, u.Index);
+  addToAddress(u, now);
 }
 
 auto UpstreamDirectory::update(UpstreamLifetime &u, const UpstreamRecord &r,
@@ -106,26 +98,64 @@
     u.ColdUntil = now + r.ColdFor;
   if (r.Service != u.Record.Service)
     ByServiceIsStale = true;
-  if (r.Address != u.Record.Address)
-    claimAddress(r.Address, u.Index);
-  u.Record = r;
   u.MissingSince.reset();
   ByName[r.Name] = u.Index;
+  if (r.Address != u.Record.Address) {
+    removeFromAddress(u, now);
+    u.Record = r;
+    addToAddress(u, now);
+  } else {
+    u.Record = r;
+    settleAddress(r.Address, now);
+  }
+}
+
+auto UpstreamDirectory::settleAddress(const Endpoint &address, TimePoint now)
+    -> void {
+  const auto all = ByAddress.find(address);
+  if (all == ByAddress.end())
+    return;
+  const UpstreamLifetime *holder = nullptr;
+  const auto startOrder = [](const UpstreamLifetime &u) {
+    return std::tie(u.Record.StartedAt, u.Record.Name);
+  };
+  for (const auto i : all->second) {
+    const auto &u = Entries[i].Lifetime;
+    if (!u.Ended && !isMissingTooLong(u, now) &&
+        (holder == nullptr || startOrder(*holder) < startOrder(u)))
+      holder = &u;
+  }
+  for (const auto i : all->second) {
+    auto &u = Entries[i].Lifetime;
+    const auto isSuperseded = holder != nullptr && holder != &u;
+    if (std::exchange(u.Superseded, isSuperseded) != isSuperseded)
+      ByServiceIsStale = true;
+  }
 }
 
-auto UpstreamDirectory::claimAddress(const Endpoint &address,
-                                     UpstreamIndex owner) -> void {
-  const auto [it, added] = ByAddress.emplace(address, owner);
-  if (added || it->second == owner)
+auto UpstreamDirectory::addToAddress(const UpstreamLifetime &u, TimePoint now)
+    -> void {
+  ByAddress[u.Record.Address].push_back(u.Index);
+  settleAddress(u.Record.Address, now);
+}
+
+auto UpstreamDirectory::removeFromAddress(const UpstreamLifetime &u,
+                                          TimePoint now) -> void {
+  const auto all = ByAddress.find(u.Record.Address);
+  if (all == ByAddress.end())
     return;
-  endLifetime(it->second);
-  it->second = owner;
+  std::erase(all->second, u.Index);
+  if (all->second.empty())
+    ByAddress.erase(all);
+  else
+    settleAddress(u.Record.Address, now);
 }
 
-auto UpstreamDirectory::endLifetime(UpstreamIndex i) -> void {
+auto UpstreamDirectory::endLifetime(UpstreamIndex i, TimePoint now) -> void {
   auto &u = Entries[i].Lifetime;
   u.Ended = true;
   ByServiceIsStale = true;
+  settleAddress(u.Record.Address, now);
   const auto it = ByName.find(u.Record.Name);
   if (it != ByName.end() && it->second == i)
     ByName.erase(it);
@@ -196,6 +226,10 @@
 }
 
 auto UpstreamDirectory::expire(TimePoint now) -> void {
+  // The lifetime that held an address may be gone by now.
+  for (const auto &[address, all] : ByAddress)
+    if (all.size() > 1)
+      settleAddress(address, now);
   for (auto &it : Entries) {
     auto &u = it.Lifetime;
     if (!it.Used)
@@ -210,9 +244,7 @@
     if (const auto tag = ByTag.find(static_cast<std::uint32_t>(u.Tag));
         tag != ByTag.end() && tag->second == u.Index)
       ByTag.erase(tag);
-    if (const auto address = ByAddress.find(u.Record.Address);
-        address != ByAddress.end() && address->second == u.Index)
-      ByAddress.erase(address);
+    removeFromAddress(u, now);
   }
   if (!ByServiceIsStale)
     return;
@@ -255,8 +287,11 @@
 
 auto UpstreamDirectory::isGone(const UpstreamLifetime &u, TimePoint now) const
     -> bool {
-  if (u.Ended)
-    return true;
+  return u.Ended || u.Superseded || isMissingTooLong(u, now);
+}
+
+auto UpstreamDirectory::isMissingTooLong(const UpstreamLifetime &u,
+                                         TimePoint now) const -> bool {
   return u.MissingSince &&
          now - std::max(*u.MissingSince, StoreFailedAt) > Options.MissingLimit;
 }
@@ -281,7 +316,7 @@
     return;
   ByService.clear();
   for (const auto &it : Entries)
-    if (it.Used && !it.Lifetime.Ended)
+    if (it.Used && !it.Lifetime.Ended && !it.Lifetime.Superseded)
       ByService[raw(it.Lifetime.Record.Service)].push_back(&it.Lifetime);
 }
 
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -7,6 +7,10 @@
 /// gone is retained for as long as flows to it may last, so that its tag does
 /// not name another upstream.
 ///
+/// Of several lifetimes with one address, the one that started last holds it
+/// until it is gone, in whatever order their records arrive; the others are
+/// gone meanwhile. A record without a start counts as the earliest.
+///
 /// Example:
 /// \code
 ///   directory.replaceUpstreams(records, now);
@@ -44,8 +48,10 @@
   TimePoint ColdUntil;
   /// When its record was found to be missing from the store.
   std::optional<TimePoint> MissingSince = {};
-  /// Another lifetime has taken its name or its address, so this one has ended.
+  /// A later lifetime has taken its name, so this one has ended.
   bool Ended = false;
+  /// A lifetime that started later holds its address.
+  bool Superseded = false;
 };
 
 /// Limits of an UpstreamDirectory.
@@ -143,9 +149,13 @@
   auto allocate() -> Entry *;
   auto update(UpstreamLifetime &u, const UpstreamRecord &r, TimePoint now)
       -> void;
-  /// Assigns \p address to \p owner and ends the lifetime that had it before.
-  auto claimAddress(const Endpoint &address, UpstreamIndex owner) -> void;
-  auto endLifetime(UpstreamIndex i) -> void;
+  /// Determines which lifetime holds \p address.
+  auto settleAddress(const Endpoint &address, TimePoint now) -> void;
+  auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
+  auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
+  auto endLifetime(UpstreamIndex i, TimePoint now) -> void;
+  /// Whether the record of \p u is missing for longer than MissingLimit.
+  auto isMissingTooLong(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Rebuilds ByService after a lifetime was added, ended or moved to another
   /// service.
   auto rebuild() -> void;
@@ -161,7 +171,8 @@
   std::deque<Entry> Entries;
   std::vector<UpstreamIndex> FreeIndexes;
   std::unordered_map<std::string, UpstreamIndex> ByName;
-  std::unordered_map<Endpoint, UpstreamIndex> ByAddress;
+  /// All lifetimes of an address, including those that are gone.
+  std::unordered_map<Endpoint, std::vector<UpstreamIndex>> ByAddress;
   std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
   std::unordered_map<std::uint64_t, std::vector<const UpstreamLifetime *>>
       ByService;
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -58,6 +58,133 @@
       *Directory.find(tagOf("i-2", successor.StartedAt)), now()));
 }
 
+// A record of an ended lifetime that came back for some seconds, or one of
+// another writer without a start, ended the living upstream at its address for
+// instances that had not seen the earlier lifetime.
+BOOST_AUTO_TEST_CASE(EarlierLifetimeTakesNoAddress) {
+  start({record("i-2", 1)});
+  auto earlier = record("i-1", 1);
+  for (const auto startedAt : {seconds(900), seconds(0)}) {
+    earlier.StartedAt = startedAt;
+    Directory.putUpstream(earlier, now());
+    BOOST_TEST(
+        !Directory.isGone(*Directory.find(tagOf("i-2", seconds(1000))), now()));
+    BOOST_TEST(
+        Directory.isGone(*Directory.find(tagOf("i-1", startedAt)), now()));
+    BOOST_TEST(Directory.upstreamsOf(Service).size() == 1U);
+  }
+}
+
+// A lifetime that started later, and is gone, must not keep the address.
+BOOST_AUTO_TEST_CASE(AddressReturnsWhenItsHolderIsGone) {
+  start({record("i-1", 1)});
+  auto later = record("i-2", 1);
+  later.StartedAt += seconds(5);
+  Directory.putUpstream(later, now());
+  const auto *u = Directory.find(tagOf("i-1", seconds(1000)));
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Time.advance(seconds(10));
+  Directory.removeUpstream("i-2", now());
+  Directory.expire(now());
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Time.advance(seconds(3));
+  Directory.expire(now());
+  BOOST_TEST(Directory.mayOpen(*u, now()));
+}
+
+BOOST_AUTO_TEST_CASE(AddressIsFreeAfterItsHolderMoves) {
+  auto later = record("i-2", 1);
+  later.StartedAt += seconds(5);
+  start({record("i-1", 1), later});
+  later.Address.Port = 2;
+  Directory.putUpstream(later, now());
+  for (const auto *it : Directory.upstreamsOf(Service))
+    BOOST_TEST(!Directory.isGone(*it, now()));
+  BOOST_TEST(Directory.upstreamsOf(Service).size() == 2U);
+}
+
+namespace {
+
+/// Lifetimes at one address, by their start, and how far the history of each
+/// has come. Its steps: its record is put, removed, and put again.
+struct AddressHistory {
+  std::vector<UpstreamRecord> Lifetimes;
+  /// Number of steps of each lifetime.
+  std::vector<int> Steps;
+
+  auto isRegistered(std::size_t i) const -> bool { return Steps[i] % 2 == 1; }
+  /// The indexes of the lifetimes, each as often as it has steps.
+  auto firstOrder() const -> std::vector<std::size_t> {
+    std::vector<std::size_t> out;
+    for (std::size_t i = 0; i < Steps.size(); ++i)
+      out.insert(out.end(), static_cast<std::size_t>(Steps[i]), i);
+    return out;
+  }
+  /// The lifetime that must hold the address; unset if none is registered.
+  auto holder() const -> std::optional<std::size_t> {
+    std::optional<std::size_t> last;
+    for (std::size_t i = 0; i < Lifetimes.size(); ++i)
+      if (isRegistered(i))
+        last = i;
+    return last;
+  }
+  auto check(UpstreamDirectory &d, TimePoint now) const -> bool {
+    d.expire(now);
+    for (std::size_t i = 0; i < Lifetimes.size(); ++i) {
+      const auto &it = Lifetimes[i];
+      const auto *u = d.find(tagOf(it.Name, it.StartedAt));
+      const auto isHolder = u != nullptr && !d.isGone(*u, now);
+      if (isRegistered(i) && isHolder != (holder() == i))
+        return false;
+    }
+    return true;
+  }
+};
+
+} // namespace
+
+// Instances must agree on the holder of an address in whatever order they see
+// the events, also when they see some twice or started after them.
+BOOST_AUTO_TEST_CASE(HolderOfAnAddressDoesNotDependOnTheOrderOfEvents) {
+  AddressHistory history;
+  for (const auto *name : {"i-3", "i-1", "i-2"}) {
+    history.Lifetimes.push_back(record(name, 1));
+    history.Lifetimes.back().StartedAt += seconds(5 * history.Lifetimes.size());
+  }
+  // A record without a start.
+  history.Lifetimes.front().StartedAt = {};
+  // Each lifetime has 0 to 3 steps.
+  constexpr int Cases = 64;
+  auto failures = 0;
+  for (int n = 0; n < Cases; ++n) {
+    history.Steps = {n % 4, n / 4 % 4, n / 16};
+    auto order = history.firstOrder();
+    do {
+      UpstreamDirectory early;
+      early.replaceUpstreams({}, now());
+      std::vector<int> done(history.Lifetimes.size());
+      for (const auto i : order) {
+        for (int copy = 0; copy < 2; ++copy) {
+          if (done[i] % 2 == 0)
+            early.putUpstream(history.Lifetimes[i], now());
+          else
+            early.removeUpstream(history.Lifetimes[i].Name, now());
+        }
+        ++done[i];
+      }
+      std::vector<UpstreamRecord> registered;
+      for (std::size_t i = 0; i < history.Lifetimes.size(); ++i)
+        if (history.isRegistered(i))
+          registered.push_back(history.Lifetimes[i]);
+      UpstreamDirectory late;
+      late.replaceUpstreams(registered, now());
+      const auto end = now() + seconds(10);
+      failures += history.check(early, end) && history.check(late, end) ? 0 : 1;
+    } while (std::next_permutation(order.begin(), order.end()));
+  }
+  BOOST_TEST(failures == 0);
+}
+
 BOOST_AUTO_TEST_CASE(MissingUpstreamIsGoneAfterLimit) {
   start({record("i-1", 1)});
   Time.advance(seconds(10));
@@ -145,7 +272,8 @@
     c.Version = version;
     for (const auto it : ports)
       c.Routes.push_back({"r", address(it), {{ServiceId{1}, 1}}});
-    BOOST_TEST(directory.setConfiguration(std::move(c)));
+    const auto isInForce = directory.setConfiguration(std::move(c));
+    BOOST_TEST(isInForce);
   };
   configure(1, {1, 2});
   BOOST_TEST(!directory.isRemovedRoute(address(1)));
