Report a write with a too long answer as in doubt

The limit of an answer was reported as DataLoss by all calls, but the users of a write know only DeadlineExceeded as an outcome in doubt. Each kind of call now names its error: OutOfRange for a watch, DataLoss for a poll, DeadlineExceeded for all others.

Test: WriteWithTooLongAnswerMayHaveTakenEffect.

--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -52,18 +52,20 @@
 }
 
 /// Returns the parsed value of a response, or the error. A body that is longer
-/// than \p maxBytes is DataLoss. A malformed body is DeadlineExceeded, as a
+/// than \p maxBytes is \p tooLong. A malformed body is DeadlineExceeded, as a
 /// write may have taken effect.
 template <typename T, typename Parse>
 static auto read(absl::StatusOr<StoreHttpResponse> r, std::size_t maxBytes,
-                 Parse parse) -> absl::StatusOr<T> {
+                 absl::StatusCode tooLong, Parse parse) -> absl::StatusOr<T> {
+  if (absl::IsDataLoss(r.status()))
+    return absl::Status(tooLong, r.status().message());
   if (!r.ok())
     return r.status();
   if (auto s = statusOf(*r); !s.ok())
     return s;
   const auto body = takeBody(*r, maxBytes);
   if (absl::IsResourceExhausted(body.status()))
-    return absl::DataLossError(body.status().message());
+    return absl::Status(tooLong, body.status().message());
   absl::StatusOr<T> value = body.ok() ? parse(*body) : body.status();
   if (!value.ok())
     return absl::DeadlineExceededError("malformed response: " +
@@ -77,9 +79,8 @@
 HttpPlatform::~HttpPlatform() = default;
 
 template <typename T, typename Parse>
-auto HttpPlatform::run(const StoreRequest &request,
-                       const ExchangeLimits &limits, Parse parse,
-                       Callback<T> done) -> void {
+auto HttpPlatform::run(const StoreRequest &request, const CallLimits &limits,
+                       Parse parse, Callback<T> done) -> void {
   constexpr unsigned Http11 = 11;
   StoreHttpRequest message(http::string_to_verb(request.Method), request.Target,
                            Http11);
@@ -94,9 +95,8 @@
   message.prepare_payload();
   asio::co_spawn(Io,
                  Settings.Transport(Io.get_executor(), Settings.Address,
-                                    std::move(message), limits),
-                 [parse = std::move(parse), done = std::move(done),
-                  maxBytes = limits.ResponseBytes,
+                                    std::move(message), limits.Exchange),
+                 [parse = std::move(parse), done = std::move(done), limits,
                   alive = std::weak_ptr<bool>(Alive)](
                      const std::exception_ptr &failure,
                      absl::StatusOr<StoreHttpResponse> r) {
@@ -106,7 +106,8 @@
                      done(absl::DeadlineExceededError(
                          "the HTTP exchange threw an exception"));
                    else
-                     done(read<T>(std::move(r), maxBytes, parse));
+                     done(read<T>(std::move(r), limits.Exchange.ResponseBytes,
+                                  limits.TooLong, parse));
                  });
 }
 
@@ -176,10 +177,11 @@
 }
 
 auto HttpPlatform::runForEvents(const StoreRequest &request,
-                                const std::string &prefix, Duration timeout,
+                                const std::string &prefix,
+                                const CallLimits &limits,
                                 Callback<ObjectList> done) -> void {
   run<StorePage>(
-      request, {timeout, Settings.WatchResponseBytes},
+      request, limits,
       [dialect = Settings.Dialect, prefix](const std::string &body) {
         return dialect->parsePage(prefix, body);
       },
@@ -194,19 +196,17 @@
 auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
                          Callback<ObjectList> done) -> void {
   runForEvents(Settings.Dialect->watch(prefix, after, wait), prefix,
-               wait + Settings.WatchGrace,
-               [done = std::move(done)](absl::StatusOr<ObjectList> r) {
-                 if (absl::IsDataLoss(r.status()))
-                   done(absl::OutOfRangeError(r.status().message()));
-                 else
-                   done(std::move(r));
-               });
+               {{wait + Settings.WatchGrace, Settings.WatchResponseBytes},
+                absl::StatusCode::kOutOfRange},
+               std::move(done));
 }
 
 auto HttpPlatform::poll(const std::string &prefix, ObjectVersion after,
                         Duration timeout, Callback<ObjectList> done) -> void {
-  runForEvents(Settings.Dialect->poll(prefix, after), prefix, timeout,
-               std::move(done));
+  runForEvents(
+      Settings.Dialect->poll(prefix, after), prefix,
+      {{timeout, Settings.WatchResponseBytes}, absl::StatusCode::kDataLoss},
+      std::move(done));
 }
 
 } // namespace boragebridge
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -88,6 +88,12 @@
       -> void;
 
 private:
+  struct CallLimits {
+    ExchangeLimits Exchange;
+    /// The error when the response is too long.
+    absl::StatusCode TooLong;
+  };
+
   /// Formats the request for a page of a list.
   using FormatPage = StoreRequest (StoreDialect::*)(
       const std::string &prefix, const std::string &next) const;
@@ -95,15 +101,18 @@
   /// Runs \p request, parses the body of a successful response with \p parse
   /// and calls \p done with the result.
   template <typename T, typename Parse>
-  auto run(const StoreRequest &request, const ExchangeLimits &limits,
-           Parse parse, Callback<T> done) -> void;
-  /// The limits of a call that is neither a watch nor a poll.
-  auto limits() const -> ExchangeLimits {
-    return {Settings.Timeout, Settings.ResponseBytes};
+  auto run(const StoreRequest &request, const CallLimits &limits, Parse parse,
+           Callback<T> done) -> void;
+  /// The limits of a call that is neither a watch nor a poll. It is unknown
+  /// whether a call whose response is too long took effect.
+  auto limits() const -> CallLimits {
+    return {{Settings.Timeout, Settings.ResponseBytes},
+            absl::StatusCode::kDeadlineExceeded};
   }
   /// Runs a request whose response lists events below \p prefix.
   auto runForEvents(const StoreRequest &request, const std::string &prefix,
-                    Duration timeout, Callback<ObjectList> done) -> void;
+                    const CallLimits &limits, Callback<ObjectList> done)
+      -> void;
   /// Reads the page \p next and all further ones, and appends them to \p soFar.
   auto listPage(FormatPage format, const std::string &prefix,
                 const std::string &next, ObjectList soFar,
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -26,6 +26,7 @@
 
 /// A server on loopback that answers one request, and a client of it.
 struct HttpPlatformFixture {
+  static constexpr std::size_t ResponseBytes = 20'000;
   static constexpr std::size_t WatchResponseBytes = 10'000;
 
   asio::io_context Io;
@@ -40,6 +41,7 @@
     HttpPlatformSettings settings;
     settings.Address = {0x7F000001, Acceptor.local_endpoint().port()};
     settings.Timeout = std::chrono::milliseconds(300);
+    settings.ResponseBytes = ResponseBytes;
     settings.WatchResponseBytes = WatchResponseBytes;
     Client.emplace(Io, settings);
   }
@@ -122,6 +124,11 @@
   BOOST_TEST(absl::IsDataLoss(result.status()));
 }
 
+BOOST_AUTO_TEST_CASE(WriteWithTooLongAnswerMayHaveTakenEffect) {
+  serve(Behaviour::Answer, 200, std::string(ResponseBytes + 1, ' '));
+  BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
+}
+
 BOOST_AUTO_TEST_CASE(OtherAnswersMayBeLongerThanThatToAWatch) {
   const std::string value(WatchResponseBytes + 1, 'x');
   serve(Behaviour::Answer, 200,
