Make comments stand by themselves

Found when the change was read once more: comments that refer to the line above, limits without their unit or subject, and a help text of a metric. No behaviour changes.

--- a/fuzz/users_platform_fuzzer.cpp
+++ b/fuzz/users_platform_fuzzer.cpp
@@ -40,7 +40,7 @@
     std::abort();
 }
 
-/// Checks that the parts of valid JSON are valid JSON, and as many.
+/// Checks that valid JSON is split into as many parts as the parser finds.
 static auto checkSplit(const std::string &text) -> void {
   boost::system::error_code ec;
   const auto parsed = boost::json::parse(text, ec);
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -39,8 +39,8 @@
 /// After this time a client that does not send its request, or does not take
 /// its response, is given up.
 constexpr auto ServerTimeout = std::chrono::seconds(30);
-/// The same for readers of the mirror. These give up their calls sooner, and
-/// the responses may be long.
+/// After this time a reader of the mirror that does not take its response is
+/// given up. Readers give up their calls sooner, and the responses may be long.
 constexpr auto MirrorServerTimeout = std::chrono::seconds(5);
 /// No request has a longer body than an address.
 constexpr std::size_t RequestBytes = 1024;
@@ -388,7 +388,8 @@
       mirror.ObjectBytes);
   set("edge_mirror_removals", "Removals kept for readers of the mirror",
       mirror.Removals);
-  set("edge_mirror_removal_bytes", "Memory for these removals",
+  set("edge_mirror_removal_bytes",
+      "Memory for the removals kept for readers of the mirror",
       mirror.RemovalBytes);
 }
 
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -67,7 +67,7 @@
   /// Maximum number of upstreams, including those that are gone; further ones
   /// are rejected.
   std::size_t MaxUpstreams = 300'000;
-  /// Removed routes that are remembered.
+  /// Maximum number of removed routes that are remembered.
   std::size_t MaxRemovedRoutes = 4096;
 };
 
@@ -151,13 +151,14 @@
       -> void;
   /// Determines which lifetime holds \p address.
   auto settleAddress(const Endpoint &address, TimePoint now) -> void;
+  /// Adds \p u to the lifetimes of its address, or removes it from them.
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto endLifetime(UpstreamIndex i, TimePoint now) -> void;
   /// Whether the record of \p u is missing for longer than MissingLimit.
   auto isMissingTooLong(const UpstreamLifetime &u, TimePoint now) const -> bool;
-  /// Rebuilds ByService after a lifetime was added, ended or moved to another
-  /// service.
+  /// Rebuilds ByService after a lifetime was added, ended, superseded or moved
+  /// to another service.
   auto rebuild() -> void;
   auto claimTag(const UpstreamLifetime &u) -> void;
   /// Builds Routes from the configuration.
@@ -179,8 +180,8 @@
   bool ByServiceIsStale = false;
   std::unordered_map<Endpoint, std::size_t> Routes;
   std::unordered_set<Endpoint> RemovedRoutes;
-  /// The elements of RemovedRoutes and routes that were added again, the oldest
-  /// removal first.
+  /// Addresses of removed routes, the oldest removal first. Some may have been
+  /// added again since.
   std::deque<Endpoint> RemovalOrder;
   std::unordered_map<std::uint64_t, double> ColdRates;
   EdgeConfiguration Config;
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -48,8 +48,9 @@
   bool AcceptsDeflate = false;
   /// Maximum size of a response body, in bytes, after decompression.
   std::size_t ResponseBytes = std::size_t{64} << 20;
-  /// The same for the response to a watch. A store may return every version of
-  /// a large object since a watch was interrupted; a list has only the last.
+  /// Maximum size of the body of a response to a watch or a poll, in bytes. A
+  /// store may return every version of a large object since a watch was
+  /// interrupted; a list has only the last.
   std::size_t WatchResponseBytes = std::size_t{4} << 20;
 };
 
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -24,7 +24,8 @@
 
 struct ObjectMirrorOptions {
   /// Memory for the removals that are kept for each prefix, in bytes. A reader
-  /// with a version older than these must read the list.
+  /// whose version is older than a removal that was forgotten must read the
+  /// list.
   std::size_t RemovalBytes = std::size_t{256} << 10;
   /// Watches that may be open at once. A further one is refused with
   /// ResourceExhausted.
@@ -34,11 +35,11 @@
 /// What a mirror keeps in memory.
 struct MirrorUsage {
   std::size_t Objects = 0;
-  /// Size of the keys and values of the objects.
+  /// Size of the keys and values of the objects, in bytes.
   std::size_t ObjectBytes = 0;
   /// Removals kept for readers with an older version.
   std::size_t Removals = 0;
-  /// Memory for these removals.
+  /// Memory for the kept removals, in bytes.
   std::size_t RemovalBytes = 0;
 };
 
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -120,7 +120,8 @@
   BOOST_TEST(n.ObjectBytes + n.RemovalBytes < 2 * ValueBytes);
 }
 
-// The same for objects that come and go, such as upstreams over weeks.
+// A mirror that kept each removal would grow with objects that come and go,
+// such as upstreams over weeks.
 BOOST_AUTO_TEST_CASE(MemoryDoesNotGrowWithRemovedObjects) {
   start();
   for (ObjectVersion v = 8; v < 1000; ++v) {
--- a/test/users/object_dialect_test.cpp
+++ b/test/users/object_dialect_test.cpp
@@ -93,7 +93,8 @@
   }
 }
 
-// The same for fields beside the value, which any writer may set as well.
+// A field beside the value, which any writer may set as well, could fail a list
+// or a watch in the same way as an unreadable value.
 BOOST_AUTO_TEST_CASE(UnreadableFieldsOfAnEntryAreNotParsed) {
   for (const auto &it : unreadableValues()) {
     std::string body = R"({"events":[{"deleted":false,"object":{"meta":{
