Log why the upstream of a reset flow counts as gone

A reset for upstream_gone had one reason in the log for three causes: a later start under the same name, another lifetime at the same address, or a missing record. The line has the field gone now. No decision has changed.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -322,6 +322,9 @@
        {"service", toString(p.Flow.Service)},
        {"why", std::string(toString(why))},
        {"upstream", u == nullptr ? "unknown" : u->Record.Name},
+       {"gone",
+        std::string(toString(u == nullptr ? GoneReason::None
+                                          : Directory.goneReason(*u, Now)))},
        {"tag", std::to_string(static_cast<std::uint32_t>(p.Tag))},
        {"configuration", std::to_string(Directory.configuration().Version)},
        {"view_age_ms", inMilliseconds(Views.age(Now))}});
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -1,12 +1,19 @@
 #include "edge/upstream_directory.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <unordered_set>
 #include <utility>
 
 namespace boragebridge {
 
+auto toString(GoneReason r) -> std::string_view {
+  static constexpr std::array<std::string_view, 4> Names{
+      "no", "restarted", "address_taken", "missing"};
+  return Names.at(static_cast<std::size_t>(r));
+}
+
 auto UpstreamDirectory::replaceUpstreams(const std::vector<UpstreamRecord> &all,
                                          TimePoint now) -> void {
   std::unordered_set<std::string_view> names;
@@ -285,9 +292,13 @@
   return it == ColdRates.end() ? 0 : it->second;
 }
 
-auto UpstreamDirectory::isGone(const UpstreamLifetime &u, TimePoint now) const
-    -> bool {
-  return u.Ended || u.Superseded || isMissingTooLong(u, now);
+auto UpstreamDirectory::goneReason(const UpstreamLifetime &u,
+                                   TimePoint now) const -> GoneReason {
+  if (u.Ended)
+    return GoneReason::Restarted;
+  if (u.Superseded)
+    return GoneReason::AddressTaken;
+  return isMissingTooLong(u, now) ? GoneReason::Missing : GoneReason::None;
 }
 
 auto UpstreamDirectory::isMissingTooLong(const UpstreamLifetime &u,
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -54,6 +54,20 @@
   bool Superseded = false;
 };
 
+/// Why no flow to an upstream can be open any more.
+enum class GoneReason : std::uint8_t {
+  /// Flows may be open.
+  None,
+  /// A later lifetime has its name.
+  Restarted,
+  /// A lifetime that started later holds its address.
+  AddressTaken,
+  /// Its record is missing for longer than the limit.
+  Missing,
+};
+
+auto toString(GoneReason r) -> std::string_view;
+
 /// Limits of an UpstreamDirectory.
 struct UpstreamDirectoryOptions {
   /// An upstream whose record is missing for longer is considered gone. Records
@@ -120,7 +134,10 @@
   auto coldPerSecond(ServiceId service) const -> double;
 
   /// Whether no flow to \p u can be open any more.
-  auto isGone(const UpstreamLifetime &u, TimePoint now) const -> bool;
+  auto isGone(const UpstreamLifetime &u, TimePoint now) const -> bool {
+    return goneReason(u, now) != GoneReason::None;
+  }
+  auto goneReason(const UpstreamLifetime &u, TimePoint now) const -> GoneReason;
   /// Whether new flows may go to \p u.
   auto mayOpen(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether new flows may go to \p u if its service has no better upstream:
