Leave flows of a restarted upstream to its new lifetime

Callers saw: flows that had been opened after an upstream restarted under its name, and before an instance had read of it, would be reset by that instance once it had, though the upstream serves them.

Cause: the tag names a lifetime. An instance that does not know of a restart writes the earlier tag, and the new lifetime takes the flow; later the tag is that of an ended lifetime. Packets with it now go to the latest lifetime of the same name, address and service, whose record may be missing for a short time; it resets what is not its own. A flow is pinned only once its packets echo the new tag.

Evidence: FlowOpenedBeforeRestartIsKnownIsNotReset failed before (reset for upstream_gone).

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -10,9 +10,10 @@
 auto toString(EdgeReason r) -> std::string_view {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(EdgeReason::Count)>
-      Names{"opened",      "opened_again", "pinned",        "tagged",
-            "no_route",    "no_upstream",  "upstream_gone", "upstream_dark",
-            "unknown_tag", "no_tag",       "not_ready",     "stale"};
+      Names{"opened",        "opened_again", "pinned",      "tagged",
+            "restarted",     "no_route",     "no_upstream", "upstream_gone",
+            "upstream_dark", "unknown_tag",  "no_tag",      "not_ready",
+            "stale"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
@@ -127,8 +128,14 @@
   if (u == nullptr)
     return {Directory.isStable(now) ? EdgeAction::Reset : EdgeAction::Drop,
             EdgeReason::UnknownTag};
-  if (Directory.isGone(*u, now))
-    return {EdgeAction::Reset, EdgeReason::UpstreamGone};
+  if (Directory.isGone(*u, now)) {
+    u = Directory.successor(*u, now);
+    if (u == nullptr)
+      return {EdgeAction::Reset, EdgeReason::UpstreamGone};
+    // Only an echo of its own tag shows that the successor has the flow.
+    if (p.Tag != u->Tag)
+      return {EdgeAction::Forward, EdgeReason::Restarted, u};
+  }
   if (e == nullptr)
     e = &Flows.insert(p.Flow, now);
   observe(p, *e, *u, now);
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -36,6 +36,9 @@
   OpenedAgain,
   Pinned,
   Tagged,
+  /// The upstream of the flow has restarted. It answers the packet itself:
+  /// the flow may have been opened since.
+  Restarted,
   NoRoute,
   NoUpstream,
   UpstreamGone,
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -95,6 +95,7 @@
   u.ColdUntil = now + r.ColdFor;
   ByServiceIsStale = true;
   ByName[r.Name] = u.Index;
+  Latest[r.Name] = u.Index;
   claimTag(u);
   addToAddress(u, now);
 }
@@ -107,6 +108,7 @@
     ByServiceIsStale = true;
   u.MissingSince.reset();
   ByName[r.Name] = u.Index;
+  Latest[r.Name] = u.Index;
   if (r.Address != u.Record.Address) {
     removeFromAddress(u, now);
     u.Record = r;
@@ -246,6 +248,9 @@
     if (!u.MissingSince || now - *u.MissingSince < Options.RetentionTime)
       continue;
     it.Used = false;
+    if (const auto latest = Latest.find(u.Record.Name);
+        latest != Latest.end() && latest->second == u.Index)
+      Latest.erase(latest);
     ByServiceIsStale = true;
     FreeIndexes.push_back(u.Index);
     if (const auto tag = ByTag.find(static_cast<std::uint32_t>(u.Tag));
@@ -280,6 +285,18 @@
   return it == ByTag.end() ? nullptr : &Entries[it->second].Lifetime;
 }
 
+auto UpstreamDirectory::successor(const UpstreamLifetime &u,
+                                  TimePoint now) const
+    -> const UpstreamLifetime * {
+  const auto it = Latest.find(u.Record.Name);
+  if (it == Latest.end() || it->second == u.Index)
+    return nullptr;
+  const auto &latest = Entries[it->second].Lifetime;
+  const auto isReachedAlike = latest.Record.Address == u.Record.Address &&
+                              latest.Record.Service == u.Record.Service;
+  return isReachedAlike && !isGone(latest, now) ? &latest : nullptr;
+}
+
 auto UpstreamDirectory::upstreamsOf(ServiceId service) const
     -> const std::vector<const UpstreamLifetime *> & {
   static const std::vector<const UpstreamLifetime *> none;
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -128,6 +128,12 @@
   }
   /// The upstream that \p tag names, including those that are gone, or null.
   auto find(UpstreamTag tag) const -> const UpstreamLifetime *;
+  /// The latest lifetime of the upstream of which \p u is an earlier one, if it
+  /// is not gone and its address and service are the same; else null. Flows
+  /// that carry the tag of \p u may be open there: an instance that has not
+  /// read of the restart opens them with the earlier tag.
+  auto successor(const UpstreamLifetime &u, TimePoint now) const
+      -> const UpstreamLifetime *;
   /// The upstreams of \p service that are registered or not yet gone.
   auto upstreamsOf(ServiceId service) const
       -> const std::vector<const UpstreamLifetime *> &;
@@ -188,7 +194,10 @@
   /// A deque, because pointers to its upstreams must stay valid when it grows.
   std::deque<Entry> Entries;
   std::vector<UpstreamIndex> FreeIndexes;
+  /// The lifetimes whose records are present.
   std::unordered_map<std::string, UpstreamIndex> ByName;
+  /// The latest lifetime of each name, including those that are missing.
+  std::unordered_map<std::string, UpstreamIndex> Latest;
   /// All lifetimes of an address, including those that are gone.
   std::unordered_map<Endpoint, std::vector<UpstreamIndex>> ByAddress;
   std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -139,6 +139,38 @@
   BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
 }
 
+// The upstream had restarted under its name, and instances that did not know
+// of it yet opened flows with the tag of the earlier lifetime.
+BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartIsKnownIsNotReset) {
+  auto r = record("i-1", 1);
+  start({r});
+  const auto port = openAnswered();
+  const auto before = tagOf(r.Name, r.StartedAt);
+  r.StartedAt += seconds(9);
+  Directory.putUpstream(r, now());
+  const auto d = PacketForwarder.decide(data(port, before, 100), now());
+  BOOST_TEST_REQUIRE((d.Action == EdgeAction::Forward));
+  BOOST_TEST((d.Upstream->Tag == tagOf(r.Name, r.StartedAt)));
+  // The record expires in an outage of the store.
+  Directory.removeUpstream(r.Name, now());
+  BOOST_TEST((PacketForwarder.decide(data(port, before, 100), now()).Action ==
+              EdgeAction::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartAfterExpiryIsKnownIsNotReset) {
+  auto r = record("i-1", 1);
+  start({r});
+  const auto port = openAnswered();
+  const auto before = tagOf(r.Name, r.StartedAt);
+  Directory.removeUpstream(r.Name, now());
+  advance(seconds(1));
+  r.StartedAt += seconds(9);
+  Directory.putUpstream(r, now());
+  advance(seconds(3));
+  BOOST_TEST((PacketForwarder.decide(data(port, before, 100), now()).Action ==
+              EdgeAction::Forward));
+}
+
 BOOST_AUTO_TEST_CASE(ResetsPacketWithoutRouteButNeverAReset) {
   start({record("i-1", 1)});
   auto p = opening(1);
