Reset no flow for a tag that other instances may know

Callers saw: a flow to a new upstream would be reset by an instance that had not read the upstream's record yet, because its parent had just stopped, while the instance that opened the flow had.

Cause: a tag of no upstream was taken for that of one that is gone as soon as the view was 2.5 s old and the store had not failed since. An instance whose parent hangs does not know for 1.3 s that it is behind. The tag is now dropped until it has been unknown for 2.5 s at this instance.

Evidence: OpenFlowAtUpstreamThatIsNotKnownYetIsNotReset failed before (reset for unknown_tag at the first packet).

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -125,9 +125,12 @@
       return {EdgeAction::Drop, EdgeReason::NoTag};
     u = Directory.find(p.Tag);
   }
-  if (u == nullptr)
-    return {Directory.isStable(now) ? EdgeAction::Reset : EdgeAction::Drop,
+  if (u == nullptr) {
+    const auto isGone =
+        Unknown.isOverdue(p.Tag, now) && Directory.isStable(now);
+    return {isGone ? EdgeAction::Reset : EdgeAction::Drop,
             EdgeReason::UnknownTag};
+  }
   if (Directory.isGone(*u, now)) {
     u = Directory.successor(*u, now);
     if (u == nullptr)
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -21,6 +21,7 @@
 #include "edge/flow_cache.h"
 #include "edge/flow_packet.h"
 #include "edge/placement_policy.h"
+#include "edge/unknown_tags.h"
 #include "edge/upstream_estimates.h"
 
 #include <array>
@@ -127,6 +128,7 @@
   PlacementPolicy &Policy;
   ForwarderOptions Options;
   FlowCache Flows;
+  UnknownTags Unknown;
   std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count)>
       Counts{};
   /// A ring buffer. When it is full, the oldest opening is dropped unchecked.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -139,6 +139,18 @@
   BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
 }
 
+// Another instance had read the record of a new upstream already.
+BOOST_AUTO_TEST_CASE(OpenFlowAtUpstreamThatIsNotKnownYetIsNotReset) {
+  start({record("i-1", 1)});
+  advance(seconds(10));
+  const auto late = record("i-2", 2);
+  const auto p = data(1, tagOf(late.Name, late.StartedAt));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Drop));
+  advance(milliseconds(500));
+  Directory.putUpstream(late, now());
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+}
+
 // The upstream had restarted under its name, and instances that did not know
 // of it yet opened flows with the tag of the earlier lifetime.
 BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartIsKnownIsNotReset) {
