Go on with open flows while an address is disputed

Cause: the holder of an address was taken to be proven by its start. That is enough to choose where new flows go, not to end open ones: a datagram names its upstream, and no other one takes it. Open flows go on until the upstream's own record has been missing for too long. An id that stands for any upstream is refused, as the argument does not hold for it.

Evidence: LaterRecordAtTheAddressOfALivingUpstreamResetsNoFlow failed before. Remains: callers of an upstream that crashed, with its address in use again, get no answer until its record expires.

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -131,7 +131,7 @@
     return {isGone ? EdgeAction::Reset : EdgeAction::Drop,
             EdgeReason::UnknownTag};
   }
-  if (Directory.isGone(*u, now)) {
+  if (Directory.isGone(*u, now) && !Directory.isDisputed(*u, now)) {
     u = Directory.successor(*u, now);
     if (u == nullptr)
       return {EdgeAction::Reset, EdgeReason::UpstreamGone};
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -144,6 +144,13 @@
     return goneReason(u, now) != GoneReason::None;
   }
   auto goneReason(const UpstreamLifetime &u, TimePoint now) const -> GoneReason;
+  /// Whether \p u is gone only by the record of another lifetime at its
+  /// address, while its own record is not missing for too long. It gets no new
+  /// flows, but its open ones may go on: an upstream takes only packets that
+  /// carry its own identity.
+  auto isDisputed(const UpstreamLifetime &u, TimePoint now) const -> bool {
+    return u.Superseded && !u.Ended && !isMissingTooLong(u, now);
+  }
   /// Whether new flows may go to \p u.
   auto mayOpen(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether new flows may go to \p u if its service has no better upstream:
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -169,6 +169,23 @@
               EdgeAction::Forward));
 }
 
+// A record of another writer, or of an upstream whose clock is ahead.
+BOOST_AUTO_TEST_CASE(LaterRecordAtTheAddressOfALivingUpstreamResetsNoFlow) {
+  start({record("i-1", 1)});
+  const auto port = openAnswered();
+  auto later = record("i-2", 1);
+  later.StartedAt += seconds(5);
+  Directory.putUpstream(later, now());
+  const auto p = data(port, tagOf("i-1", seconds(1000)), 100);
+  const auto d = PacketForwarder.decide(p, now());
+  BOOST_TEST_REQUIRE((d.Action == EdgeAction::Forward));
+  BOOST_TEST(d.Upstream->Record.Name == "i-1");
+  Directory.removeUpstream("i-1", now());
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  advance(seconds(3));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
+}
+
 BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartAfterExpiryIsKnownIsNotReset) {
   auto r = record("i-1", 1);
   start({r});
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -46,6 +46,13 @@
     BOOST_TEST(!upstream(it).ok(), it);
 }
 
+BOOST_AUTO_TEST_CASE(IdThatAddressesAnyUpstreamIsRejected) {
+  const auto *value = R"({"service":"s","address":"10.128.0.9:80","zone":"p",
+      "slots":2,"state":"ready","warmupLeftMs":0})";
+  BOOST_TEST(RecordCodec().decodeUpstream({"servers/i-1", value, 1}).ok());
+  BOOST_TEST(!RecordCodec().decodeUpstream({"servers/i-0", value, 1}).ok());
+}
+
 // A record of another writer with a number out of range names no upstream, and
 // must not throw out of the decoder.
 BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreRejected) {
