Order the versions of a restored store by its era

Cause: versions were compared as if they were of one history. Revisions go back with a restore and are given out again. A list of a lower revision than the view's was refused as outdated; a watch from a revision that is given out again misses what was written below it; a conditional write could meet an equal revision of another write; pages of a list could be of two histories.

A version now holds the era in its upper bits, so that one of a later era is always newer. The client of the store adds it from the header field that the dialect names, and takes it off what it sends; a watch that is answered in another era must list. Watchers, mirrors, their readers and polls compare whole versions and need no rule of their own. A poll that shows a later era lists all views at once, as watches of before may never be answered. store_restored in the log names the era; without it a refused list looked like a store that does not answer.

ListOfALaterEraReplacesViewOfAHigherRevision, WatchAcrossARestoreOfTheStoreIsOutOfRange and ChangeAfterARestoreOfTheStoreIsInForce need the era and could not be written before.

--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -12,8 +12,8 @@
 ///  - FailedPrecondition: the view of the mirror that was asked is
 ///    unconfirmed.
 ///  - OutOfRange: a watch starts at a version before the history that the store
-///    keeps, or has missed more changes than the client reads at once. The
-///    objects must be listed.
+///    keeps, or of an earlier era, or has missed more changes than the client
+///    reads at once. The objects must be listed.
 ///  - Cancelled: the client has ended a watch, which may be repeated at once.
 ///  - ResourceExhausted: the store's or the client's rate limit is exceeded.
 #ifndef BORAGEBRIDGE_PLATFORM_CLIENT_H
@@ -28,10 +28,33 @@
 
 namespace boragebridge {
 
-/// Version of an object: the value of the store's write counter at the last
-/// write of the object. 0 means that the object does not exist.
+/// Number of the histories of a store. When the store comes back from an
+/// earlier copy, what it acknowledged since is gone, its write counter has gone
+/// back, and its era has risen by one. 0 for a store that does not tell it.
+using StoreEra = std::uint64_t;
+
+/// Version of an object: the era of the store and, in the lower bits, the
+/// revision, which is the value of the store's write counter at the last write
+/// of the object. So a version of a later era is always the newer one. 0 means
+/// that the object does not exist. Revisions stay below 2^44, and eras count
+/// modulo 2^20.
 using ObjectVersion = std::uint64_t;
 
+inline constexpr unsigned RevisionBits = 44;
+
+constexpr auto makeVersion(StoreEra era, std::uint64_t revision)
+    -> ObjectVersion {
+  return era << RevisionBits | revision;
+}
+constexpr auto eraOf(ObjectVersion v) -> StoreEra { return v >> RevisionBits; }
+constexpr auto revisionOf(ObjectVersion v) -> std::uint64_t {
+  return v & ((std::uint64_t{1} << RevisionBits) - 1);
+}
+/// The revision alone for the log; the era has a field of its own there.
+inline auto toText(ObjectVersion v) -> std::string {
+  return std::to_string(revisionOf(v));
+}
+
 /// An object of the store.
 struct StoredObject {
   std::string Key;
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -215,7 +215,9 @@
 
 auto EdgeServer::connectTo(const Endpoint &mirror, MirrorView view)
     -> std::unique_ptr<PlatformClient> {
-  HttpPlatformSettings settings{.Address = mirror, .AcceptsDeflate = true};
+  HttpPlatformSettings settings{.Address = mirror,
+                                .Dialect = std::make_shared<MirrorDialect>(),
+                                .AcceptsDeflate = true};
   settings.Timeout = MirrorTimeout;
   if (view == MirrorView::Any) {
     settings.Dialect = std::make_shared<UnconfirmedDialect>();
@@ -239,6 +241,7 @@
 }
 
 auto EdgeServer::probeStore(StoreProbe::Result done) -> void {
+  // Of no era: if the store has eras, the poll says so without reading changes.
   constexpr ObjectVersion AnyVersion = 1;
   ++Polls;
   Store.poll(Adapter.Records->withdrawalPrefix(), AnyVersion, PollTimeout,
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -1,8 +1,10 @@
 #include "edge/edge_views.h"
 
 #include "edge/edge_events.h"
+#include "store/platform_events.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragebridge {
 
@@ -64,6 +66,8 @@
 auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
     -> WatcherHandlers {
   return {[this, prefix, h](const ObjectList &l) {
+            if (isRestored(prefix, l.CurrentVersion))
+              Directory.onStoreFailure(Time.now());
             Mirror.replace(prefix, l);
             (this->*h.OnList)(l);
           },
@@ -83,6 +87,18 @@
           [this, prefix](ObjectVersion v) { Mirror.advance(prefix, v); }};
 }
 
+auto EdgeViews::isRestored(const std::string &prefix, ObjectVersion version)
+    -> bool {
+  const auto [it, isFirst] = Eras.try_emplace(prefix, eraOf(version));
+  const auto before = std::exchange(it->second, eraOf(version));
+  if (isFirst || before == eraOf(version))
+    return false;
+  Log.write(events::StoreRestored, {{"prefix", prefix},
+                                    {"era", std::to_string(eraOf(version))},
+                                    {"version", toText(version)}});
+  return true;
+}
+
 auto EdgeViews::tick(TimePoint now) -> void {
   if (isComplete())
     SeedClients.clear();
@@ -180,10 +196,9 @@
       if (alive.expired() || !r.ok() || !watcher->adopt(*r))
         return;
       Mirror.setConfirmed(prefix, false);
-      Log.write(events::ViewAdopted,
-                {{"prefix", prefix},
-                 {"from", toString(address)},
-                 {"version", std::to_string(r->CurrentVersion)}});
+      Log.write(events::ViewAdopted, {{"prefix", prefix},
+                                      {"from", toString(address)},
+                                      {"version", toText(r->CurrentVersion)}});
     });
   }
 }
@@ -236,7 +251,7 @@
 auto EdgeViews::logRefused(const StoredObject &o, const absl::Status &why)
     -> void {
   Log.write(events::RecordRefused, {{"key", o.Key},
-                                    {"version", std::to_string(o.Version)},
+                                    {"version", toText(o.Version)},
                                     {"why", std::string(why.message())}});
 }
 
@@ -258,10 +273,9 @@
       all.begin(), all.end(), [](const auto &it) { return it.Draining; });
   // One line for all of them: after a restart of a large fleet, a line for each
   // would fill the log's buffer and delay the first packets.
-  Log.write(events::UpstreamsListed,
-            {{"count", std::to_string(all.size())},
-             {"draining", std::to_string(draining)},
-             {"version", std::to_string(l.CurrentVersion)}});
+  Log.write(events::UpstreamsListed, {{"count", std::to_string(all.size())},
+                                      {"draining", std::to_string(draining)},
+                                      {"version", toText(l.CurrentVersion)}});
 }
 
 auto EdgeViews::onUpstreamEvents(const ObjectList &l) -> void {
@@ -270,9 +284,8 @@
     const auto name = nameInKey(it.Object.Key, Format.upstreamPrefix());
     if (it.Removed) {
       Directory.removeUpstream(name, now);
-      Log.write(
-          events::UpstreamMissing,
-          {{"upstream", name}, {"version", std::to_string(it.Object.Version)}});
+      Log.write(events::UpstreamMissing,
+                {{"upstream", name}, {"version", toText(it.Object.Version)}});
     } else if (const auto r = decode(it.Object); r.ok()) {
       Directory.putUpstream(*r, now);
       logUpstream(*r);
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -118,6 +118,9 @@
 
   auto makeHandlers(const std::string &prefix, Handlers h) -> WatcherHandlers;
   auto makeOptions(const std::string &prefix) -> WatcherOptions;
+  /// Whether a list of \p prefix, at \p version, is the first one since the
+  /// store was restored from an earlier copy.
+  auto isRestored(const std::string &prefix, ObjectVersion version) -> bool;
   auto onUpstreamList(const ObjectList &l) -> void;
   auto onUpstreamEvents(const ObjectList &l) -> void;
   auto onConfiguration(const ObjectList &l) -> void;
@@ -174,6 +177,8 @@
   /// All four watchers, by prefix.
   const std::map<std::string, ObjectWatcher *> Watchers;
   WatchMonitor Monitor;
+  /// The eras of the last lists, by prefix.
+  std::map<std::string, StoreEra> Eras;
   /// Versions of the members' records, including those that cannot be parsed.
   std::map<std::string, ObjectVersion> MemberVersions;
   MemberExpiry Expiry;
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -7,6 +7,10 @@
 #pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <charconv>
 
 namespace boragebridge {
 
@@ -55,15 +59,11 @@
 /// than \p maxBytes is \p tooLong. A malformed body is DeadlineExceeded, as a
 /// write may have taken effect.
 template <typename T, typename Parse>
-static auto read(absl::StatusOr<StoreHttpResponse> r, std::size_t maxBytes,
+static auto read(StoreHttpResponse &r, std::size_t maxBytes,
                  absl::StatusCode tooLong, Parse parse) -> absl::StatusOr<T> {
-  if (absl::IsDataLoss(r.status()))
-    return absl::Status(tooLong, r.status().message());
-  if (!r.ok())
-    return r.status();
-  if (auto s = statusOf(*r); !s.ok())
+  if (auto s = statusOf(r); !s.ok())
     return s;
-  const auto body = takeBody(*r, maxBytes);
+  const auto body = takeBody(r, maxBytes);
   if (absl::IsResourceExhausted(body.status()))
     return absl::Status(tooLong, body.status().message());
   absl::StatusOr<T> value = body.ok() ? parse(*body) : body.status();
@@ -73,11 +73,46 @@
   return value;
 }
 
+/// Adds \p era to the versions in a value.
+static auto addEraTo(ObjectVersion &v, StoreEra era) -> void {
+  v = makeVersion(era, v);
+}
+static auto addEraTo(StoredObject &o, StoreEra era) -> void {
+  addEraTo(o.Version, era);
+}
+static auto addEraTo(StorePage &p, StoreEra era) -> void {
+  addEraTo(p.Objects.CurrentVersion, era);
+  for (auto &it : p.Objects.Events)
+    addEraTo(it.Object, era);
+}
+
 HttpPlatform::HttpPlatform(asio::io_context &io, HttpPlatformSettings settings)
     : Io(io), Settings(std::move(settings)) {}
 
 HttpPlatform::~HttpPlatform() = default;
 
+auto HttpPlatform::onWire(ObjectVersion v) const -> ObjectVersion {
+  return Settings.Dialect->eraHeader().empty() ? v : revisionOf(v);
+}
+
+template <typename T>
+auto HttpPlatform::addEra(const StoreHttpResponse &r, absl::StatusOr<T> &value)
+    -> void {
+  const auto header = Settings.Dialect->eraHeader();
+  if (header.empty())
+    return;
+  const auto text = r[header];
+  auto era = Era;
+  StoreEra given = 0;
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), given);
+  if (ec == std::errc() && end == text.data() + text.size())
+    era = eraOf(makeVersion(given, 0));
+  Era = std::max(Era, era);
+  if (value.ok())
+    addEraTo(*value, era);
+}
+
 template <typename T, typename Parse>
 auto HttpPlatform::run(const StoreRequest &request, const CallLimits &limits,
                        Parse parse, Callback<T> done) -> void {
@@ -93,22 +128,28 @@
   message.keep_alive(false);
   message.body() = request.Body;
   message.prepare_payload();
-  asio::co_spawn(Io,
-                 Settings.Transport(Io.get_executor(), Settings.Address,
-                                    std::move(message), limits.Exchange),
-                 [parse = std::move(parse), done = std::move(done), limits,
-                  alive = std::weak_ptr<bool>(Alive)](
-                     const std::exception_ptr &failure,
-                     absl::StatusOr<StoreHttpResponse> r) {
-                   if (alive.expired())
-                     return;
-                   if (failure != nullptr)
-                     done(absl::DeadlineExceededError(
-                         "the HTTP exchange threw an exception"));
-                   else
-                     done(read<T>(std::move(r), limits.Exchange.ResponseBytes,
-                                  limits.TooLong, parse));
-                 });
+  asio::co_spawn(
+      Io,
+      Settings.Transport(Io.get_executor(), Settings.Address,
+                         std::move(message), limits.Exchange),
+      [this, parse = std::move(parse), done = std::move(done), limits,
+       alive =
+           std::weak_ptr<bool>(Alive)](const std::exception_ptr &failure,
+                                       absl::StatusOr<StoreHttpResponse> r) {
+        if (alive.expired())
+          return;
+        if (failure != nullptr)
+          return done(absl::DeadlineExceededError(
+              "the HTTP exchange threw an exception"));
+        if (absl::IsDataLoss(r.status()))
+          return done(absl::Status(limits.TooLong, r.status().message()));
+        if (!r.ok())
+          return done(r.status());
+        auto value =
+            read<T>(*r, limits.Exchange.ResponseBytes, limits.TooLong, parse);
+        addEra(*r, value);
+        done(std::move(value));
+      });
 }
 
 auto HttpPlatform::get(std::string key, Callback<StoredObject> done) -> void {
@@ -140,11 +181,14 @@
                  done = std::move(done)](absl::StatusOr<StorePage> r) mutable {
     if (!r.ok())
       return done(r.status());
+    const auto version = r->Objects.CurrentVersion;
+    const auto isFirst = soFar.CurrentVersion == 0;
+    if (!isFirst && eraOf(version) != eraOf(soFar.CurrentVersion))
+      return done(absl::UnavailableError("restored between two pages"));
     // Pages may be of different age. The changes since the oldest one bring all
     // of them up to date.
-    if (soFar.CurrentVersion == 0 ||
-        r->Objects.CurrentVersion < soFar.CurrentVersion)
-      soFar.CurrentVersion = r->Objects.CurrentVersion;
+    if (isFirst || version < soFar.CurrentVersion)
+      soFar.CurrentVersion = version;
     for (auto &it : r->Objects.Events)
       soFar.Events.push_back(std::move(it));
     soFar.Unreadable += r->Objects.Unreadable;
@@ -155,11 +199,20 @@
   run<StorePage>(request, limits(), std::move(parse), std::move(onPage));
 }
 
+auto HttpPlatform::failLater(Callback<ObjectVersion> done) -> void {
+  asio::post(Io, [done = std::move(done), alive = std::weak_ptr<bool>(Alive)] {
+    if (!alive.expired())
+      done(absl::AbortedError("the version is of an earlier era"));
+  });
+}
+
 auto HttpPlatform::put(std::string key, std::string value,
                        ObjectVersion expected, Callback<ObjectVersion> done)
     -> void {
+  if (isOutdated(expected))
+    return failLater(std::move(done));
   run<ObjectVersion>(
-      Settings.Dialect->put(key, value, expected), limits(),
+      Settings.Dialect->put(key, value, onWire(expected)), limits(),
       [dialect = Settings.Dialect](const std::string &body) {
         return dialect->parseVersion(body);
       },
@@ -168,8 +221,10 @@
 
 auto HttpPlatform::remove(std::string key, ObjectVersion expected,
                           Callback<ObjectVersion> done) -> void {
+  if (isOutdated(expected))
+    return failLater(std::move(done));
   run<ObjectVersion>(
-      Settings.Dialect->remove(key, expected), limits(),
+      Settings.Dialect->remove(key, onWire(expected)), limits(),
       [dialect = Settings.Dialect](const std::string &body) {
         return dialect->parseVersion(body);
       },
@@ -193,20 +248,42 @@
       });
 }
 
+auto HttpPlatform::requireEra(ObjectVersion after, Callback<ObjectList> done)
+    -> Callback<ObjectList> {
+  return [after, done = std::move(done)](absl::StatusOr<ObjectList> r) {
+    if (!r.ok() || after == 0 || eraOf(r->CurrentVersion) == eraOf(after))
+      done(std::move(r));
+    else if (eraOf(r->CurrentVersion) < eraOf(after))
+      done(absl::UnavailableError("the answer is of an earlier era"));
+    else
+      done(absl::OutOfRangeError("the store was restored from a copy"));
+  };
+}
+
 auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
                          Callback<ObjectList> done) -> void {
-  runForEvents(Settings.Dialect->watch(prefix, after, wait), prefix,
+  runForEvents(Settings.Dialect->watch(prefix, onWire(after), wait), prefix,
                {{wait + Settings.WatchGrace, Settings.WatchResponseBytes},
                 absl::StatusCode::kOutOfRange},
-               std::move(done));
+               requireEra(after, std::move(done)));
 }
 
 auto HttpPlatform::poll(const std::string &prefix, ObjectVersion after,
                         Duration timeout, Callback<ObjectList> done) -> void {
+  auto onEvents = [this, after,
+                   done = std::move(done)](absl::StatusOr<ObjectList> r) {
+    // The response may be out of date, or report that the history is gone, but
+    // its header field always gives the era.
+    if (Era > eraOf(after) && (r.ok() || absl::IsOutOfRange(r.status())))
+      r = ObjectList{{}, makeVersion(Era, 0)};
+    else if (r.ok() && eraOf(r->CurrentVersion) < eraOf(after))
+      r = ObjectList{{}, after};
+    done(std::move(r));
+  };
   runForEvents(
-      Settings.Dialect->poll(prefix, after), prefix,
+      Settings.Dialect->poll(prefix, onWire(after)), prefix,
       {{timeout, Settings.WatchResponseBytes}, absl::StatusCode::kDataLoss},
-      std::move(done));
+      std::move(onEvents));
 }
 
 } // namespace boragebridge
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -68,7 +68,7 @@
 
   auto get(std::string key, Callback<StoredObject> done) -> void override;
   /// Reads all pages of the list. The result has the version of the oldest
-  /// page.
+  /// page. Unavailable if the store was restored between two pages.
   auto list(std::string prefix, Callback<ObjectList> done) -> void override;
   auto put(std::string key, std::string value, ObjectVersion expected,
            Callback<ObjectVersion> done) -> void override;
@@ -80,7 +80,9 @@
   /// Reads the changes below \p prefix after \p after without waiting for new
   /// ones. The result may be out of date. This is a cheap way to find out
   /// whether the store answers within \p timeout, and whether a watch was lost.
-  /// DataLoss if there are more changes than the client reads at once.
+  /// DataLoss if there are more changes than the client reads at once. If the
+  /// store was restored since \p after, the result is empty and has a version
+  /// of the present era.
   auto poll(const std::string &prefix, ObjectVersion after, Duration timeout,
             Callback<ObjectList> done) -> void;
 
@@ -104,6 +106,18 @@
   template <typename T, typename Parse>
   auto run(const StoreRequest &request, const CallLimits &limits, Parse parse,
            Callback<T> done) -> void;
+  /// The version to send for \p v.
+  auto onWire(ObjectVersion v) const -> ObjectVersion;
+  /// Adds the era that \p r gives to the versions in \p value. Without one, the
+  /// last known era counts.
+  template <typename T>
+  auto addEra(const StoreHttpResponse &r, absl::StatusOr<T> &value) -> void;
+  /// Fails a conditional write whose version is outdated.
+  auto failLater(Callback<ObjectVersion> done) -> void;
+  /// Whether \p expected is of an era that has ended.
+  auto isOutdated(ObjectVersion expected) const -> bool {
+    return expected != 0 && eraOf(expected) < Era;
+  }
   /// The limits of a call that is neither a watch nor a poll. It is unknown
   /// whether a call whose response is too long took effect.
   auto limits() const -> CallLimits {
@@ -114,6 +128,10 @@
   auto runForEvents(const StoreRequest &request, const std::string &prefix,
                     const CallLimits &limits, Callback<ObjectList> done)
       -> void;
+  /// Passes a response to a watch from \p after on to \p done if it is of the
+  /// same era; any era will do for 0, the beginning.
+  static auto requireEra(ObjectVersion after, Callback<ObjectList> done)
+      -> Callback<ObjectList>;
   /// Reads the page \p next and all further ones, and appends them to \p soFar.
   auto listPage(FormatPage format, const std::string &prefix,
                 const std::string &next, ObjectList soFar,
@@ -121,6 +139,8 @@
 
   boost::asio::io_context &Io;
   HttpPlatformSettings Settings;
+  /// The latest era that a response gave.
+  StoreEra Era = 0;
   /// Expires with the client, so that open calls do not call back.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -59,6 +59,14 @@
   onFailure(why);
 }
 
+auto ObjectWatcher::onStoreRestored(StoreEra era) -> void {
+  if (!hasView() || NeedsList || eraOf(Version) >= era)
+    return;
+  CallOpen = false;
+  ++LastCall;
+  onHistoryGone();
+}
+
 auto ObjectWatcher::onList(const absl::StatusOr<ObjectList> &r) -> void {
   CallOpen = false;
   if (!r.ok())
@@ -122,13 +130,13 @@
     Ctx.Log.write(events::EntriesUnreadable,
                   {{"prefix", Options.Prefix},
                    {"count", std::to_string(l.Unreadable)},
-                   {"version", std::to_string(l.CurrentVersion)}});
+                   {"version", toText(l.CurrentVersion)}});
 }
 
 auto ObjectWatcher::onFailure(const absl::Status &s) -> void {
   if (Failures == 0)
     Ctx.Log.write(events::WatchLost, {{"prefix", Options.Prefix},
-                                      {"version", std::to_string(Version)},
+                                      {"version", toText(Version)},
                                       {"why", std::string(s.message())}});
   auto delay = Options.InitialBackoff;
   for (unsigned i = 0; i < Failures && delay < Options.MaxBackoff; ++i)
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -90,6 +90,10 @@
   /// Fails the open call, if there is one, with \p why. A late answer to it is
   /// ignored.
   auto failOpenCall(const absl::Status &why) -> void;
+  /// The store was restored from an earlier copy, and is in \p era now.
+  /// Replaces a view of an earlier era by a new list; an open watch is given
+  /// up, as the store may not know its version.
+  auto onStoreRestored(StoreEra era) -> void;
   /// Whether a list was delivered or adopted.
   auto hasView() const -> bool { return Version != 0; }
   /// Whether the last call that ended was successful.
--- a/src/store/platform_events.h
+++ b/src/store/platform_events.h
@@ -17,6 +17,8 @@
 inline constexpr LogEvent StoreSilent{1305, Severity::Warning, "store_silent"};
 inline constexpr LogEvent EntriesUnreadable{1306, Severity::Warning,
                                             "entries_unreadable"};
+inline constexpr LogEvent StoreRestored{1307, Severity::Warning,
+                                        "store_restored"};
 
 } // namespace boragebridge::events
 
--- a/src/store/store_dialect.h
+++ b/src/store/store_dialect.h
@@ -29,7 +29,8 @@
 
 /// Formats requests and parses the bodies of successful responses. Stateless
 /// and thread-safe. The parsers return InvalidArgument for a malformed body.
-/// They do not check the values of objects; the reader of a value does.
+/// They do not check the values of objects; the reader of a value does. If
+/// there is an eraHeader(), all versions here are revisions without an era.
 class StoreDialect {
 public:
   StoreDialect() = default;
@@ -37,6 +38,9 @@
   auto operator=(const StoreDialect &) -> StoreDialect & = delete;
   virtual ~StoreDialect() = default;
 
+  /// Name of the header field in which each response gives the era of the
+  /// store; empty if versions contain their era.
+  virtual auto eraHeader() const -> std::string_view { return {}; }
   /// A cheap request for the changes below \p prefix after \p after. The store
   /// answers it without waiting for new ones; the result may be out of date.
   virtual auto poll(const std::string &prefix, ObjectVersion after) const
@@ -73,6 +77,7 @@
 /// The object API that this project defines.
 class NativeDialect : public StoreDialect {
 public:
+  auto eraHeader() const -> std::string_view override { return "Store-Era"; }
   auto poll(const std::string &prefix, ObjectVersion after) const
       -> StoreRequest override;
   auto get(const std::string &key) const -> StoreRequest override;
@@ -92,8 +97,14 @@
       -> absl::StatusOr<ObjectVersion> override;
 };
 
+/// The API of a mirror, whose versions contain the era of the store.
+class MirrorDialect : public NativeDialect {
+public:
+  auto eraHeader() const -> std::string_view override { return {}; }
+};
+
 /// The API of a mirror, for a reader that also accepts unconfirmed views.
-class UnconfirmedDialect final : public NativeDialect {
+class UnconfirmedDialect final : public MirrorDialect {
 public:
   auto list(const std::string &prefix, const std::string &next) const
       -> StoreRequest override;
--- a/src/store/watch_monitor.cpp
+++ b/src/store/watch_monitor.cpp
@@ -39,6 +39,11 @@
 auto WatchMonitor::onPoll(ObjectWatcher &watcher, TimePoint sentAt,
                           const absl::StatusOr<ObjectList> &r) -> void {
   PollOpen = false;
+  if (r.ok() && eraOf(r->CurrentVersion) > eraOf(watcher.version())) {
+    for (auto *it : Watchers)
+      it->onStoreRestored(eraOf(r->CurrentVersion));
+    return;
+  }
   if (r.ok() || absl::IsDataLoss(r.status())) {
     const auto hasChanges = !r.ok() || !r->Events.empty();
     if (!hasChanges || Lagging != nullptr)
@@ -76,7 +81,7 @@
           Time.now() - watcher.confirmedAt());
   Log.write(events::StoreSilent,
             {{"prefix", watcher.prefix()},
-             {"version", std::to_string(watcher.version())},
+             {"version", toText(watcher.version())},
              {"silent_ms", std::to_string(unconfirmedFor.count())},
              {"why", std::string(why.message())}});
   watcher.failOpenCall(why);
--- a/src/store/watch_monitor.h
+++ b/src/store/watch_monitor.h
@@ -4,7 +4,8 @@
 /// responding or the store has lost the watch. The monitor tells these cases
 /// apart by a cheap poll at short intervals, for one watcher after the other.
 /// When a watch is lost, the monitor fails it, and its watcher starts a new
-/// call.
+/// call. When the store was restored from an earlier copy, all views are listed
+/// again.
 ///
 /// Worst case with n watchers: a store that does not respond is detected after
 /// Interval plus the time-out of the poll, a lost watch after n times Interval
@@ -40,7 +41,9 @@
   /// Reads the changes below a prefix after a version from the store, without
   /// waiting for new ones. The result may be out of date. Has to call back
   /// exactly once, well within a second, with an error when the store does not
-  /// respond, and with DataLoss when there are too many changes to read.
+  /// respond, and with DataLoss when there are too many changes to read. If the
+  /// store was restored since the version, the result has a version of the
+  /// present era.
   using Poll = std::function<void(const std::string &, ObjectVersion,
                                   PlatformClient::Callback<ObjectList>)>;
 
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -449,6 +449,22 @@
   BOOST_TEST(Views.mirror().list("servers/").ok());
 }
 
+// The store came back from an earlier copy. Lists of it were refused until it
+// had given out the revision of the view again, and the changes in between
+// were missed.
+BOOST_AUTO_TEST_CASE(ChangeAfterARestoreOfTheStoreIsInForce) {
+  start();
+  Store.answer("config/", absl::OutOfRangeError("restored"));
+  Views.tick(Time.now());
+  const auto newer =
+      std::string(Configuration).replace(0, 13, R"({"version":4,)");
+  Store.answer("config/", ObjectList{{{{"config/main", newer, 5}, false}},
+                                     makeVersion(1, 5)});
+  BOOST_TEST(Directory.configuration().Version == 4U);
+  advance(seconds(1));
+  BOOST_TEST(Store.take("config/").After == makeVersion(1, 5));
+}
+
 BOOST_AUTO_TEST_CASE(LostHistoryIsNotAStoreFailure) {
   start();
   Store.answer("servers/", absl::OutOfRangeError("gone"));
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -153,6 +153,54 @@
              "/v1/watch?prefix=config%2F&after=11&wait_ms=2000");
 }
 
+BOOST_AUTO_TEST_CASE(VersionsContainTheEraOfTheStore) {
+  Answer.set("Store-Era", "3");
+  serve(Behaviour::Answer, 200,
+        R"({"key":"config/a b","value":"text","version":9})");
+  const auto r = get();
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST(r->Version == makeVersion(3, 9));
+}
+
+// A watch from a revision that the restored store had given out again missed
+// the changes before it.
+BOOST_AUTO_TEST_CASE(WatchAcrossARestoreOfTheStoreIsOutOfRange) {
+  Answer.set("Store-Era", "1");
+  serve(Behaviour::Answer, 200, R"({"current_version":12,"objects":[]})");
+  BOOST_TEST(absl::IsOutOfRange(watch().status()));
+  BOOST_TEST(std::string(Seen.target()) ==
+             "/v1/watch?prefix=k&after=1&wait_ms=100");
+}
+
+BOOST_AUTO_TEST_CASE(PollAcrossARestoreOfTheStoreReportsTheEra) {
+  for (const auto status : {200U, 410U}) {
+    HttpPlatformFixture f;
+    f.Answer.set("Store-Era", "2");
+    f.serve(Behaviour::Answer, status,
+            R"({"current_version":12,"objects":[]})");
+    absl::StatusOr<ObjectList> result = absl::UnknownError("no callback");
+    f.Client->poll("k", makeVersion(1, 40), std::chrono::seconds(1),
+                   [&](auto r) { result = std::move(r); });
+    f.Io.run();
+    BOOST_TEST_REQUIRE(result.ok());
+    BOOST_TEST(eraOf(result->CurrentVersion) == 2U);
+    BOOST_TEST(result->Events.empty());
+  }
+}
+
+// An equal revision of another era is another write.
+BOOST_AUTO_TEST_CASE(WriteOnAVersionBeforeARestoreOfTheStoreIsAborted) {
+  Answer.set("Store-Era", "2");
+  serve(Behaviour::Answer, 200, R"({"key":"k","value":"v","version":7})");
+  BOOST_TEST_REQUIRE(get().ok());
+  absl::StatusOr<ObjectVersion> result = absl::UnknownError("no callback");
+  Client->put("k", "v", makeVersion(1, 7),
+              [&](auto r) { result = std::move(r); });
+  Io.restart();
+  Io.run();
+  BOOST_TEST(absl::IsAborted(result.status()));
+}
+
 BOOST_AUTO_TEST_CASE(DecompressesResponse) {
   Answer.set(http::field::content_encoding, DeflateEncoding);
   serve(Behaviour::Answer, 200,
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -98,6 +98,19 @@
   BOOST_TEST((*Answer)->Events.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ReaderOfAnEarlierEraMustList) {
+  Mirror.replace("p/", {{object("p/a", 4)}, makeVersion(1, 40)});
+  watch(makeVersion(1, 40));
+  BOOST_TEST(!Answer.has_value());
+  Mirror.replace("p/", {{object("p/a", 4)}, makeVersion(2, 30)});
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST(absl::IsOutOfRange(Answer->status()));
+  watch(makeVersion(2, 30));
+  Mirror.apply("p/", {{object("p/b", 31)}, makeVersion(2, 31)});
+  BOOST_TEST_REQUIRE(Answer->ok());
+  BOOST_TEST((*Answer)->Events.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ReaderAheadOfMirrorKeepsItsVersion) {
   start();
   watch(20);
--- a/test/store/object_watcher_test.cpp
+++ b/test/store/object_watcher_test.cpp
@@ -101,6 +101,31 @@
   BOOST_TEST(Watcher.version() == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(ListOfALaterEraReplacesViewOfAHigherRevision) {
+  startWatching(makeVersion(1, 40));
+  Store.answer("p/", absl::OutOfRangeError("restored"));
+  Watcher.tick(Time.now());
+  Store.answer("p/", ObjectList{{}, makeVersion(2, 30)});
+  BOOST_TEST(Lists == 2U);
+  BOOST_TEST(Watcher.version() == makeVersion(2, 30));
+}
+
+BOOST_AUTO_TEST_CASE(RestoredStoreIsListedAtOnce) {
+  startWatching(makeVersion(1, 40));
+  auto watch = Store.take("p/");
+  Watcher.onStoreRestored(2);
+  BOOST_TEST(Failures == 0U);
+  Watcher.tick(Time.now());
+  watch.Done(oneEvent(makeVersion(1, 41)));
+  BOOST_TEST(Events == 0U);
+  BOOST_TEST(!Store.OpenCalls.front().IsWatch);
+  Store.answer("p/", ObjectList{{}, makeVersion(2, 30)});
+  Watcher.tick(Time.now());
+  Watcher.onStoreRestored(2);
+  BOOST_TEST(Store.OpenCalls.size() == 1U);
+  BOOST_TEST(Store.OpenCalls.front().IsWatch);
+}
+
 BOOST_AUTO_TEST_CASE(ResumesWatchAfterFailureWithoutList) {
   startWatching(7);
   Store.answer("p/", absl::UnavailableError("down"));
--- a/test/store/watch_monitor_test.cpp
+++ b/test/store/watch_monitor_test.cpp
@@ -182,6 +182,18 @@
   BOOST_TEST(Failures == 0U);
 }
 
+// The watches stay open, and the store never answers them.
+BOOST_AUTO_TEST_CASE(PollOfALaterEraListsAllViewsAgain) {
+  advance(milliseconds(500));
+  takePoll().Done(ObjectList{{}, makeVersion(1, 0)});
+  BOOST_TEST(Failures == 0U);
+  Store.OpenCalls.clear();
+  for (auto *it : {&A, &B}) {
+    it->tick(Time.now());
+    BOOST_TEST(!Store.take(it->prefix()).IsWatch);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MonitorWithoutPollDoesNothing) {
   WatchMonitor monitor(Time, Log, {}, {&A, &B});
   monitor.tick(Time.now() + seconds(1));
