Set aside records that a restored store has from its copy

Callers would see (DRAIN): an upstream that drains or has left gets new flows again, as the copy of the store has its record from before.

Cause: the record that is read last was taken to be the latest one. Reports of one start are numbered, and starts are ordered; a record of a restored store that is older than the one known is set aside, and taken only if the store still has it after the time in which those of upstreams that left expire. A record that expired shortly before the restore is taken at once, as its upstream may be running, and a report that changes nothing else gives no event.

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -66,8 +66,7 @@
 auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
     -> WatcherHandlers {
   return {[this, prefix, h](const ObjectList &l) {
-            if (isRestored(prefix, l.CurrentVersion))
-              Directory.onStoreFailure(Time.now());
+            IsRestoredList = isRestored(prefix, l.CurrentVersion);
             Mirror.replace(prefix, l);
             (this->*h.OnList)(l);
           },
@@ -268,7 +267,10 @@
   for (const auto &it : l.Events)
     if (auto r = decode(it.Object); r.ok())
       all.push_back(*std::move(r));
-  Directory.replaceUpstreams(all, Time.now());
+  if (IsRestoredList)
+    Directory.replaceByRestored(all, Time.now());
+  else
+    Directory.replaceUpstreams(all, Time.now());
   const auto draining = std::count_if(
       all.begin(), all.end(), [](const auto &it) { return it.Draining; });
   // One line for all of them: after a restart of a large fleet, a line for each
@@ -303,6 +305,7 @@
             {{"upstream", r.Name},
              {"address", toString(r.Address)},
              {"draining", r.Draining ? "true" : "false"},
+             {"sequence", std::to_string(r.Sequence)},
              {"cold_ms", std::to_string(cold)},
              {"tag", std::to_string(static_cast<std::uint32_t>(
                          tagOf(r.Name, r.StartedAt)))}});
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -179,6 +179,8 @@
   WatchMonitor Monitor;
   /// The eras of the last lists, by prefix.
   std::map<std::string, StoreEra> Eras;
+  /// Whether isRestored() holds for the list that is being handled.
+  bool IsRestoredList = false;
   /// Versions of the members' records, including those that cannot be parsed.
   std::map<std::string, ObjectVersion> MemberVersions;
   MemberExpiry Expiry;
--- a/src/edge/records.h
+++ b/src/edge/records.h
@@ -24,6 +24,8 @@
   unsigned Slots = 1;
   /// It takes no new flows and will be removed.
   bool Draining = false;
+  /// Counts the reports of this lifetime; a record with a lower one is older.
+  std::uint64_t Sequence = 0;
   /// How much longer it is cold, that is, able to handle only few new flows,
   /// from the time at which the record was read.
   Duration ColdFor{};
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -14,12 +14,13 @@
   return Names.at(static_cast<std::size_t>(r));
 }
 
-auto UpstreamDirectory::replaceUpstreams(const std::vector<UpstreamRecord> &all,
-                                         TimePoint now) -> void {
+auto UpstreamDirectory::replaceAll(const std::vector<UpstreamRecord> &all,
+                                   TimePoint now) -> void {
   std::unordered_set<std::string_view> names;
   for (const auto &it : all) {
     names.insert(it.Name);
-    apply(it, now);
+    if (!SetAside.contains(it.Name))
+      apply(it, now);
   }
   for (auto it = ByName.begin(); it != ByName.end();) {
     if (names.contains(it->first)) {
@@ -34,8 +35,31 @@
   rebuild();
 }
 
+auto UpstreamDirectory::replaceUpstreams(const std::vector<UpstreamRecord> &all,
+                                         TimePoint now) -> void {
+  std::unordered_map<std::string, UpstreamRecord> unchanged;
+  for (const auto &it : all)
+    if (const auto old = SetAside.find(it.Name);
+        old != SetAside.end() && old->second == it)
+      unchanged.insert(*old);
+  SetAside = std::move(unchanged);
+  replaceAll(all, now);
+}
+
+auto UpstreamDirectory::replaceByRestored(
+    const std::vector<UpstreamRecord> &all, TimePoint now) -> void {
+  SetAside.clear();
+  SetAsideUntil = now + Options.CopyExpiryTime;
+  for (const auto &it : all)
+    if (isFromCopy(it, now))
+      SetAside.emplace(it.Name, it);
+  onStoreFailure(now);
+  replaceAll(all, now);
+}
+
 auto UpstreamDirectory::putUpstream(const UpstreamRecord &r, TimePoint now)
     -> void {
+  SetAside.erase(r.Name);
   apply(r, now);
   rebuild();
 }
@@ -49,6 +73,26 @@
     update(*lifetime, r, now);
 }
 
+auto UpstreamDirectory::isFromCopy(const UpstreamRecord &r, TimePoint now) const
+    -> bool {
+  const auto it = Latest.find(r.Name);
+  if (it == Latest.end())
+    return false;
+  const auto &u = Entries[it->second].Lifetime;
+  if (r.StartedAt != u.Record.StartedAt)
+    return r.StartedAt < u.Record.StartedAt;
+  // A record that expired shortly before may be that of a running upstream.
+  return isMissingTooLong(u, now) ? r.Sequence <= u.Record.Sequence
+                                  : r.Sequence < u.Record.Sequence;
+}
+
+auto UpstreamDirectory::takeSetAside(TimePoint now) -> void {
+  if (SetAside.empty() || now < SetAsideUntil)
+    return;
+  for (const auto &[name, it] : std::exchange(SetAside, {}))
+    apply(it, now);
+}
+
 auto UpstreamDirectory::findLifetime(const UpstreamRecord &r)
     -> UpstreamLifetime * {
   auto matches = [&](const UpstreamLifetime &u) {
@@ -185,6 +229,7 @@
 
 auto UpstreamDirectory::removeUpstream(const std::string &name, TimePoint now)
     -> void {
+  SetAside.erase(name);
   const auto it = ByName.find(name);
   if (it == ByName.end())
     return;
@@ -235,6 +280,7 @@
 }
 
 auto UpstreamDirectory::expire(TimePoint now) -> void {
+  takeSetAside(now);
   // The lifetime that held an address may be gone by now.
   for (const auto &[address, all] : ByAddress)
     if (all.size() > 1)
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -73,6 +73,9 @@
   /// An upstream whose record is missing for longer is considered gone. Records
   /// that expire during a store outage are registered again within this time.
   Duration MissingLimit = std::chrono::milliseconds(2500);
+  /// After this time a restored store has removed the records of upstreams that
+  /// do not report any more.
+  Duration CopyExpiryTime = std::chrono::milliseconds(4500);
   /// How long an upstream that is gone is retained.
   Duration RetentionTime = std::chrono::seconds(75);
   /// After a data centre returns, its upstreams count as cold for this long:
@@ -95,6 +98,12 @@
   /// Replaces the set of registered upstreams by \p all.
   auto replaceUpstreams(const std::vector<UpstreamRecord> &all, TimePoint now)
       -> void;
+  /// Like replaceUpstreams(), for the first list of a store that was restored
+  /// from an earlier copy. Counts as a failure of the store. Records that are
+  /// older than those known are set aside, and taken when the store still has
+  /// them after CopyExpiryTime.
+  auto replaceByRestored(const std::vector<UpstreamRecord> &all, TimePoint now)
+      -> void;
   /// Adds or updates one upstream.
   auto putUpstream(const UpstreamRecord &r, TimePoint now) -> void;
   /// Marks the record \p name as missing from the store.
@@ -185,6 +194,13 @@
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto endLifetime(UpstreamIndex i, TimePoint now) -> void;
+  auto replaceAll(const std::vector<UpstreamRecord> &all, TimePoint now)
+      -> void;
+  /// Whether a later record of the upstream is known than \p r, which a
+  /// restored store has from its copy.
+  auto isFromCopy(const UpstreamRecord &r, TimePoint now) const -> bool;
+  /// Takes the records that were set aside, when that is due.
+  auto takeSetAside(TimePoint now) -> void;
   /// Whether the record of \p u is missing for longer than MissingLimit.
   auto isMissingTooLong(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Rebuilds ByService after a lifetime was added, ended, superseded or moved
@@ -221,6 +237,9 @@
   std::set<DataCentreId> Withdrawn;
   std::optional<TimePoint> UpstreamsReceivedAt;
   TimePoint StoreFailedAt;
+  /// Records from the copy that the store was restored from, by name.
+  std::unordered_map<std::string, UpstreamRecord> SetAside;
+  TimePoint SetAsideUntil;
 };
 
 } // namespace boragebridge
--- a/src/edge_model/json_record_format.cpp
+++ b/src/edge_model/json_record_format.cpp
@@ -28,6 +28,7 @@
                                       {"address", toString(r.Address)},
                                       {"slots", r.Slots},
                                       {"draining", r.Draining},
+                                      {"sequence", r.Sequence},
                                       {"cold_ms", toMilliseconds(r.ColdFor)}});
 }
 
@@ -43,6 +44,7 @@
     r.Address = parseEndpointValue(v.at("address"));
     r.Slots = v.at("slots").to_number<unsigned>();
     r.Draining = v.at("draining").as_bool();
+    r.Sequence = v.at("sequence").to_number<std::uint64_t>();
     r.ColdFor = milliseconds(v.at("cold_ms").to_number<std::int64_t>());
     return r;
   });
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -219,6 +219,85 @@
   BOOST_TEST(Directory.mayOpen(*u, now()));
 }
 
+// An upstream that drained took new flows again, as the restored store had its
+// record from before.
+BOOST_AUTO_TEST_CASE(RecordFromBeforeARestoreOfTheStoreIsIgnored) {
+  auto ready = record("i-1", 1);
+  ready.Sequence = 4;
+  start({ready});
+  auto draining = ready;
+  draining.Draining = true;
+  draining.Sequence = 6;
+  Directory.putUpstream(draining, now());
+  const auto *u = Directory.find(tagOf("i-1", ready.StartedAt));
+  Directory.replaceByRestored({ready}, now());
+  BOOST_TEST(!Directory.mayOpen(*u, now()));
+  draining.Sequence = 7;
+  Directory.putUpstream(draining, now());
+  Time.advance(seconds(5));
+  Directory.expire(now());
+  BOOST_TEST(!Directory.mayOpen(*u, now()));
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamThatLeftDoesNotReturnWithARestoreOfTheStore) {
+  auto r = record("i-1", 1);
+  r.Sequence = 4;
+  start({r});
+  Time.advance(seconds(10));
+  Directory.removeUpstream("i-1", now());
+  Time.advance(seconds(3));
+  const auto *u = Directory.find(tagOf("i-1", r.StartedAt));
+  Directory.replaceByRestored({r}, now());
+  Time.advance(seconds(3));
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Directory.removeUpstream("i-1", now());
+  Time.advance(seconds(5));
+  Directory.expire(now());
+  BOOST_TEST(Directory.isGone(*u, now()));
+}
+
+// A heartbeat that changes only the sequence gives no event.
+BOOST_AUTO_TEST_CASE(RecordThatTheRestoredStoreKeepsIsTaken) {
+  auto r = record("i-1", 1);
+  r.Sequence = 4;
+  start({r});
+  Directory.removeUpstream("i-1", now());
+  Time.advance(seconds(3));
+  const auto *u = Directory.find(tagOf("i-1", r.StartedAt));
+  Directory.replaceByRestored({r}, now());
+  Directory.replaceUpstreams({r}, now());
+  Time.advance(seconds(5));
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Directory.expire(now());
+  BOOST_TEST(Directory.mayOpen(*u, now()));
+}
+
+BOOST_AUTO_TEST_CASE(RecordThatExpiredJustBeforeARestoreOfTheStoreIsTaken) {
+  auto r = record("i-1", 1);
+  r.Sequence = 4;
+  start({r});
+  Directory.removeUpstream("i-1", now());
+  Time.advance(seconds(1));
+  Directory.replaceByRestored({r}, now());
+  Time.advance(seconds(3));
+  BOOST_TEST(
+      Directory.mayOpen(*Directory.find(tagOf("i-1", r.StartedAt)), now()));
+}
+
+BOOST_AUTO_TEST_CASE(RestoredRecordOfAnEarlierLifetimeEndsNoLaterOne) {
+  const auto earlier = record("i-1", 1);
+  auto later = earlier;
+  later.StartedAt += seconds(5);
+  start({later});
+  Directory.replaceByRestored({earlier}, now());
+  later.Draining = true;
+  Directory.putUpstream(later, now());
+  const auto *u = Directory.find(tagOf("i-1", later.StartedAt));
+  BOOST_TEST(!Directory.isGone(*u, now()));
+  BOOST_TEST(!Directory.mayOpen(*u, now()));
+  BOOST_TEST(Directory.find(tagOf("i-1", earlier.StartedAt)) == nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(RetainsGoneUpstreamWhileFlowsMayLast) {
   start({record("i-1", 1)});
   Directory.removeUpstream("i-1", now());
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -23,6 +23,7 @@
   BOOST_TEST(toString(r->Address) == "10.128.0.9:8080");
   BOOST_TEST(r->Draining);
   BOOST_TEST((r->ColdFor == std::chrono::milliseconds(1500)));
+  BOOST_TEST(r->Sequence == 4U);
   BOOST_TEST((r->StartedAt == std::chrono::milliseconds(1700000000123)));
 }
 
