Keep data centres withdrawn while a restored store lacks it

What was withdrawn stays so for 2.5 s after each restore.

Evidence: RestoreOfTheStoreLosesNoWithdrawal, with two restores in succession.

--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -110,6 +110,10 @@
     Monitor.tick(now);
   if (isComplete() && !Platform.hasParent())
     checkMember(now);
+  if (!HeldWithdrawals.empty() && now >= HeldWithdrawalsUntil) {
+    HeldWithdrawals.clear();
+    applyWithdrawals();
+  }
   Mirror.tick(now);
   Quota.confirmMembers(MemberWatch.confirmedAt());
   registerSelf(now);
@@ -332,6 +336,10 @@
 }
 
 auto EdgeViews::onWithdrawalList(const ObjectList &l) -> void {
+  if (IsRestoredList) {
+    HeldWithdrawals.insert(Withdrawn.begin(), Withdrawn.end());
+    HeldWithdrawalsUntil = Time.now() + Options.RewriteTime;
+  }
   Withdrawn.clear();
   onWithdrawalEvents(l);
 }
@@ -339,14 +347,22 @@
 auto EdgeViews::onWithdrawalEvents(const ObjectList &l) -> void {
   for (const auto &it : l.Events) {
     const auto name = nameInKey(it.Object.Key, Format.withdrawalPrefix());
-    if (it.Removed)
+    if (it.Removed) {
       Withdrawn.erase(name);
-    else
+      HeldWithdrawals.erase(name);
+    } else {
       Withdrawn.insert(name);
+    }
   }
+  applyWithdrawals();
+}
+
+auto EdgeViews::applyWithdrawals() -> void {
+  auto all = Withdrawn;
+  all.insert(HeldWithdrawals.begin(), HeldWithdrawals.end());
   std::set<DataCentreId> ids;
   std::string names;
-  for (const auto &it : Withdrawn) {
+  for (const auto &it : all) {
     ids.insert(idFromName<DataCentreId>(it));
     names += (names.empty() ? "" : ",") + it;
   }
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -42,6 +42,8 @@
   /// because configurations are large and every reader of this instance's
   /// mirror receives each one that this instance reads.
   Duration ConfigurationBatchDelay = std::chrono::milliseconds(500);
+  /// Time in which operators write again what a restored store has lost.
+  Duration RewriteTime = std::chrono::milliseconds(2500);
   /// Time between two attempts to register.
   Duration RegistrationInterval = std::chrono::seconds(3);
   /// Delay after a start before the first seed is asked, and between two seeds.
@@ -126,6 +128,8 @@
   auto onConfiguration(const ObjectList &l) -> void;
   auto onWithdrawalList(const ObjectList &l) -> void;
   auto onWithdrawalEvents(const ObjectList &l) -> void;
+  /// Passes the withdrawn data centres on to the directory.
+  auto applyWithdrawals() -> void;
   auto onMemberList(const ObjectList &l) -> void;
   auto onMemberEvents(const ObjectList &l) -> void;
   auto logUpstream(const UpstreamRecord &r) -> void;
@@ -167,6 +171,11 @@
   ObjectMirror Mirror;
   MirrorTree Tree;
   std::set<std::string> Withdrawn;
+  /// The data centres that were withdrawn when the store was restored. They
+  /// stay withdrawn until HeldWithdrawalsUntil, although the store may lack
+  /// them.
+  std::set<std::string> HeldWithdrawals;
+  TimePoint HeldWithdrawalsUntil;
   std::map<std::string, MemberRecord> Members;
   ParentDiscovery Discovery;
   ParentListReader FirstLists;
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -465,6 +465,25 @@
   BOOST_TEST(Store.take("config/").After == makeVersion(1, 5));
 }
 
+BOOST_AUTO_TEST_CASE(RestoreOfTheStoreLosesNoWithdrawal) {
+  start();
+  Store.answer("evacuations/",
+               ObjectList{{{{"evacuations/z", "{}", 12}, false}}, 12});
+  advance(seconds(1));
+  Store.answer("evacuations/", absl::OutOfRangeError("restored"));
+  Views.tick(Time.now());
+  Store.answer("evacuations/", ObjectList{{}, makeVersion(1, 5)});
+  const auto z = idFromName<DataCentreId>("z");
+  advance(seconds(1));
+  Store.answer("evacuations/", absl::OutOfRangeError("restored"));
+  Views.tick(Time.now());
+  Store.answer("evacuations/", ObjectList{{}, makeVersion(2, 5)});
+  advance(seconds(2));
+  BOOST_TEST(Directory.isWithdrawn(z));
+  advance(seconds(1));
+  BOOST_TEST(!Directory.isWithdrawn(z));
+}
+
 BOOST_AUTO_TEST_CASE(LostHistoryIsNotAStoreFailure) {
   start();
   Store.answer("servers/", absl::OutOfRangeError("gone"));
