Play restores of the store in the model, stand-ins and soak

The fake store restores a copy in a new era and never answers the watches that are open; boragebench edge has restore_store, and mixed runs contain one restore besides (--restores), drawn apart so that a seed keeps its other faults. The platform stand-in and the store of the soak send the era and restore a copy.

--- a/bench/edge.cpp
+++ b/bench/edge.cpp
@@ -26,6 +26,8 @@
   edge_model::EdgeModelOptions Model;
   std::string Scenario;
   std::size_t Faults = 6;
+  /// Restores of the store from a copy that mixed plans contain besides.
+  std::size_t Restores = 1;
   Duration Length{};
   std::uint64_t Runs = 1;
 };
@@ -94,10 +96,11 @@
   model.run(TimeBeforeFaults);
   const auto start = model.now();
   const auto *only = edge_model::findFaultKind(a.Scenario);
-  const auto plan =
-      a.Scenario == "calm"
-          ? std::vector<edge_model::PlannedFault>{}
-          : edge_model::drawFaults(seed, a.Faults, a.Length, only);
+  auto plan = a.Scenario == "calm"
+                  ? std::vector<edge_model::PlannedFault>{}
+                  : edge_model::drawFaults(seed, a.Faults, a.Length, only);
+  if (a.Scenario == "mixed")
+    edge_model::addRestores(plan, seed, a.Restores, a.Length);
   planFaults(model, plan);
   model.run(a.Length + TimeAfterFaults);
   model.stopCallers();
@@ -150,6 +153,8 @@
       cxxopts::value<std::string>()->default_value("mixed"))(
       "troubles", "troubles of a run",
       cxxopts::value<std::size_t>()->default_value("6"))(
+      "restores", "restores of the store from a copy besides, if mixed",
+      cxxopts::value<std::size_t>()->default_value("1"))(
       "seconds", "time in which troubles begin",
       cxxopts::value<unsigned>()->default_value("25"))(
       "baselines", "play other ways to place flows as well")("help",
@@ -177,6 +182,7 @@
   a.Model.RequestsPerUpstream = args["load"].as<double>();
   a.Scenario = args["scenario"].as<std::string>();
   a.Faults = args["troubles"].as<std::size_t>();
+  a.Restores = args["restores"].as<std::size_t>();
   a.Length = std::chrono::seconds(args["seconds"].as<unsigned>());
   a.Runs = args["runs"].as<std::uint64_t>();
   if (!isKnownScenario(a.Scenario) || a.Model.Instances == 0 ||
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -103,6 +103,7 @@
     def __init__(self, options):
         self.options = options
         self.random = random.Random(options.seed)
+        self.restores = random.Random(f"restores {options.seed}")
         # Each run uses its own ports and loopback networks.
         self.net = options.net if options.net else 1 + os.getpid() % 200
         self.port = 21000 + 10 * self.net
@@ -306,6 +307,41 @@
     async def forget_history(self):
         self.store.forget_history()
 
+    async def restore_store(self):
+        """The store is away for a moment and comes back from an earlier copy;
+        the upstreams and the operator write again what is lost."""
+        away_s = self.restores.uniform(0.3, 2)
+        self.count("restore_store")
+        self.store_affected_until = max(self.store_affected_until,
+                                        time.monotonic() + away_s)
+        self.store.is_away = True
+        await asyncio.sleep(away_s)
+        self.store.restore(self.restores.uniform(1, 9))
+        self.store.is_away = False
+        self.store_affected_until = max(self.store_affected_until,
+                                        time.monotonic())
+        await asyncio.sleep(self.restores.uniform(0.2, 1.2))
+        self.write_again()
+
+    def write_again(self):
+        self.put_configuration()
+        for zone in ZONES:
+            if zone in self.withdrawn:
+                self.store.put("evacuations", zone, {})
+            else:
+                self.store.delete("evacuations", zone)
+        for it in self.upstreams:
+            if it.stopped_since:
+                self.store.delete("servers", it.name)
+            elif not it.unresponsive_since:
+                it.report("draining" if it.draining_since else "ready")
+
+    async def restore_repeatedly(self):
+        """A series of its own, so that a seed keeps its other faults."""
+        while True:
+            await asyncio.sleep(self.restores.uniform(6, 14))
+            await self.restore_store()
+
     async def change_configuration(self):
         for _ in range(self.random.randint(1, 5)):
             self.put_configuration()
@@ -410,6 +446,7 @@
         if self.mutation == "none":
             self.spawn(self.inject())
             self.spawn(self.inject())
+            self.spawn(self.restore_repeatedly())
         else:
             self.spawn(self.inject_deliberate_fault())
         await asyncio.sleep(self.options.seconds)
--- a/soak/store.py
+++ b/soak/store.py
@@ -5,13 +5,22 @@
 independently of the other listeners.
 """
 import asyncio
+import collections
 import json
+import time
 import urllib.parse
 
+# Changes that the store can go back by.
+COPIES = 400
+
 
 class Store:
     def __init__(self):
         self.revision = 1
+        # Rises when the store is restored from an earlier copy.
+        self.era = 1
+        self.is_away = False
+        self.copies = collections.deque(maxlen=COPIES)
         self.objects = {}
         self.events = []
         self.oldest = 0
@@ -32,12 +41,29 @@
         self.revision += 1
         self._notify(kind, name, self.revision, spec, True)
 
+    def _copy(self):
+        self.copies.append((time.monotonic(), self.revision,
+                            dict(self.objects)))
+
+    def restore(self, age_s):
+        """Comes back as it was age_s ago, or as the oldest copy; waiting watches
+        end."""
+        wanted = time.monotonic() - age_s
+        older = [it for it in self.copies if it[0] <= wanted]
+        _, self.revision, objects = older[-1] if older else self.copies[0]
+        self.objects = dict(objects)
+        self.era += 1
+        self.copies.clear()
+        self._copy()
+        self.forget_history()
+
     def forget_history(self):
         self.events.clear()
         self.oldest = self.revision
         self._wake()
 
     def _notify(self, kind, name, revision, spec, deleted):
+        self._copy()
         self.events.append((kind, self.revision, {
             "deleted": deleted, "object": _object(name, revision, spec)}))
         self._wake()
@@ -54,8 +80,9 @@
 
     async def watch(self, kind, after, wait_s):
         deadline = asyncio.get_running_loop().time() + wait_s
+        era = self.era
         while True:
-            if after < self.oldest:
+            if era != self.era or not self.oldest <= after <= self.revision:
                 return 410, {"atRev": self.revision}
             events = [e for k, rev, e in self.events
                       if k == kind and rev > after]
@@ -120,15 +147,17 @@
             return
         if self.mode == "slow":
             await asyncio.sleep(0.25)
-        status, answer = (503, {}) if self.mode == "busy" else (
+        is_refused = self.mode == "busy" or self.store.is_away
+        status, answer = (503, {}) if is_refused else (
             await self.answer(method, target, body))
         if self.mode in ("silent", "lost"):
             await asyncio.sleep(60)
             return
         text = json.dumps(answer).encode()
         writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                     b"Store-Era: %d\r\n"
                      b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
-                     % (status, len(text), text))
+                     % (status, self.store.era, len(text), text))
         await writer.drain()
 
     async def answer(self, method, target, body):
--- a/soak/world.py
+++ b/soak/world.py
@@ -47,6 +47,7 @@
         self.draining_since = None
         self.unresponsive_since = None
         self.stopped_since = None
+        self.sequence = 0
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -56,10 +57,11 @@
 
     def report(self, state):
         left = max(0.0, self.cold_s - (time.monotonic() - self.started))
+        self.sequence += 1
         reported_ms = 0 if self.world.mutation == "cold" else int(left * 1000)
         spec = {"service": self.service, "zone": self.zone, "version": "v1",
                 "address": "%s:%d" % self.address, "slots": 2, "state": state,
-                "warmupLeftMs": reported_ms, "sequence": 1,
+                "warmupLeftMs": reported_ms, "sequence": self.sequence,
                 "born": self.started_at_ms}
         self.world.store.put("servers", self.name, spec)
 
--- a/src/edge_model/edge_model.cpp
+++ b/src/edge_model/edge_model.cpp
@@ -23,6 +23,9 @@
 /// A snapshot of the store is at most SnapshotInterval times MaxSnapshots old.
 static constexpr Duration SnapshotInterval = milliseconds(500);
 static constexpr std::size_t MaxSnapshots = 6;
+/// The oldest copy that the store can be restored from is SnapshotInterval
+/// times MaxCopies old.
+static constexpr std::size_t MaxCopies = 20;
 
 static constexpr std::uint16_t UpstreamPort = 8600;
 static constexpr std::uint16_t MirrorPort = 8166;
@@ -231,9 +234,34 @@
   Snapshots.push_back(std::move(all));
   if (Snapshots.size() > MaxSnapshots)
     Snapshots.pop_front();
+  StoreCopies.push_back(Store.copy());
+  if (StoreCopies.size() > MaxCopies)
+    StoreCopies.pop_front();
   after(SnapshotInterval, [this] { scheduleSnapshot(); });
 }
 
+auto EdgeModel::restoreStore(Duration age) -> void {
+  constexpr Duration RewriteTime = seconds(1);
+  const auto n = static_cast<std::size_t>(age / SnapshotInterval);
+  Store.restore(
+      *(StoreCopies.end() - 1 -
+        static_cast<std::ptrdiff_t>(std::min(n, StoreCopies.size() - 1))));
+  Checker.faults().recordFault(RuleChecker::store(), now());
+  for (std::size_t i = 0; i < UpstreamEntries.size(); ++i) {
+    const auto &entry = UpstreamEntries[i];
+    if (!entry.Ended && entry.Model->state() == UpstreamState::Running)
+      after(Random.jitter(HeartbeatInterval),
+            [this, i] { registerUpstream(i); });
+    else
+      scheduleRecordExpiry(i);
+  }
+  after(Random.jitter(RewriteTime), [this] {
+    writeConfiguration();
+    for (std::size_t i = 0; i < Options.DataCentres; ++i)
+      writeWithdrawal(i);
+  });
+}
+
 auto EdgeModel::readSnapshot(const std::string &prefix) -> ObjectList {
   return Snapshots[Random.below(Snapshots.size())][prefix];
 }
@@ -419,7 +447,7 @@
   const auto name = model->record().Name;
   write(
       Format.upstreamPrefix() + name,
-      [model] { return formatUpstream(model->record()); },
+      [model] { return formatUpstream(model->nextReport()); },
       [this, model, name, upstream] {
         if (model->record().Draining)
           Checker.onDrainAccepted(name, now());
--- a/src/edge_model/edge_model.h
+++ b/src/edge_model/edge_model.h
@@ -92,6 +92,10 @@
   /// Drops the store's history of changes, so that watches of earlier versions
   /// have to list the objects again.
   auto dropHistory() -> void;
+  /// Restores the store from a copy of \p age, or the oldest one. Upstreams and
+  /// operators write again what is lost; records of upstreams that have ended
+  /// expire.
+  auto restoreStore(Duration age) -> void;
 
   /// Cuts a data centre off from the others and from the store, or heals that.
   auto setDataCentreCut(std::size_t dataCentre, bool cut) -> void;
@@ -167,6 +171,8 @@
       -> void;
   auto whenStoreAvailable(std::function<void()> f) -> void;
   auto registerUpstream(std::size_t upstream) -> void;
+  /// Writes or removes the withdrawal of a data centre.
+  auto writeWithdrawal(std::size_t dataCentre) -> void;
   /// Removes the upstream's record after the timeout of its heartbeats, unless
   /// the upstream is running again by then.
   auto scheduleRecordExpiry(std::size_t upstream) -> void;
@@ -215,6 +221,7 @@
   ModelOutcome Outcome;
   std::vector<DataCentreId> DataCentreIds;
   std::set<std::size_t> CutDataCentres;
+  std::set<std::size_t> WithdrawnDataCentres;
   std::vector<InstanceEntry> InstanceEntries;
   std::vector<UpstreamEntry> UpstreamEntries;
   std::unordered_map<Endpoint, std::size_t> UpstreamAt;
@@ -225,6 +232,8 @@
   std::optional<Endpoint> RemovedRoute;
   /// The latest snapshots of the store by prefix, the oldest one first.
   std::deque<std::map<std::string, ObjectList>> Snapshots;
+  /// Copies of the store at the same times, the oldest one first.
+  std::deque<fakes::ObjectStore::Copy> StoreCopies;
   StoreCondition CurrentStoreCondition = StoreCondition::Answers;
   Duration CurrentStoreDelay = StoreDelay;
   /// Name of the instance whose packet is being delivered.
--- a/src/edge_model/edge_model_faults.cpp
+++ b/src/edge_model/edge_model_faults.cpp
@@ -164,6 +164,15 @@
 }
 
 auto EdgeModel::setWithdrawn(std::size_t dataCentre, bool withdrawn) -> void {
+  if (withdrawn)
+    WithdrawnDataCentres.insert(dataCentre);
+  else
+    WithdrawnDataCentres.erase(dataCentre);
+  writeWithdrawal(dataCentre);
+}
+
+auto EdgeModel::writeWithdrawal(std::size_t dataCentre) -> void {
+  const auto withdrawn = WithdrawnDataCentres.contains(dataCentre);
   const auto key =
       Format.withdrawalPrefix() + "dc-" + std::to_string(dataCentre);
   const auto accepted = [this, dataCentre, withdrawn] {
--- a/src/edge_model/faults.cpp
+++ b/src/edge_model/faults.cpp
@@ -109,6 +109,21 @@
   return {};
 }
 
+/// The store is away for a moment and comes back from a copy that is up to nine
+/// seconds old.
+auto restoreFromCopy(EdgeModel &m, std::uint64_t selector) -> EndFault {
+  constexpr std::uint64_t MaxAge = 9;
+  constexpr std::uint64_t MinAwayMs = 200;
+  constexpr std::uint64_t AwayRangeMs = 1800;
+  const auto age = seconds(1 + selector % MaxAge);
+  m.setStore(StoreCondition::Refuses, EdgeModel::StoreDelay);
+  m.after(milliseconds(MinAwayMs + selector % AwayRangeMs), [&m, age] {
+    m.restoreStore(age);
+    m.setStore(StoreCondition::Answers, EdgeModel::StoreDelay);
+  });
+  return {};
+}
+
 auto cutDataCentre(EdgeModel &m, std::uint64_t selector) -> EndFault {
   const auto n = selector % m.dataCentres();
   m.setDataCentreCut(n, true);
@@ -198,8 +213,13 @@
     FaultKind{"change_routes", changeRoutes},
     FaultKind{"storm_of_changes", changeRoutesRepeatedly},
     FaultKind{"burst", raiseLoad},
+    FaultKind{"restore_store", restoreFromCopy},
 };
 
+/// The kinds that mixed plans are drawn from. The others have draws of their
+/// own, so that a seed keeps its plan.
+constexpr std::size_t MixedKinds = FaultKinds.size() - 1;
+
 } // namespace
 
 auto allFaultKinds() -> std::span<const FaultKind> { return FaultKinds; }
@@ -219,9 +239,8 @@
   std::vector<PlannedFault> all;
   for (std::size_t i = 0; i < n; ++i) {
     PlannedFault fault;
-    fault.Kind = only != nullptr
-                     ? only
-                     : &FaultKinds.at(random.below(FaultKinds.size()));
+    fault.Kind =
+        only != nullptr ? only : &FaultKinds.at(random.below(MixedKinds));
     fault.At = Duration(static_cast<std::int64_t>(
         random.unit() * static_cast<double>(length.count())));
     fault.ActiveTime = milliseconds(MinActiveMs + random.below(ActiveRangeMs));
@@ -231,6 +250,12 @@
   return all;
 }
 
+auto addRestores(std::vector<PlannedFault> &plan, std::uint64_t seed,
+                 std::size_t n, Duration length) -> void {
+  const auto all = drawFaults(seed, n, length, findFaultKind("restore_store"));
+  plan.insert(plan.end(), all.begin(), all.end());
+}
+
 auto planFaults(EdgeModel &model, const std::vector<PlannedFault> &all)
     -> void {
   for (const auto &it : all)
--- a/src/edge_model/faults.h
+++ b/src/edge_model/faults.h
@@ -36,6 +36,9 @@
 /// kind. The same arguments give the same plan.
 auto drawFaults(std::uint64_t seed, std::size_t n, Duration length,
                 const FaultKind *only = nullptr) -> std::vector<PlannedFault>;
+/// Adds \p n restores of the store, at times drawn from \p seed, to \p plan.
+auto addRestores(std::vector<PlannedFault> &plan, std::uint64_t seed,
+                 std::size_t n, Duration length) -> void;
 /// Schedules \p all in \p model, counted from the model's current time.
 auto planFaults(EdgeModel &model, const std::vector<PlannedFault> &all) -> void;
 
--- a/src/edge_model/model_instance.cpp
+++ b/src/edge_model/model_instance.cpp
@@ -234,6 +234,9 @@
                          const PlatformClient::Callback<ObjectList> &done)
     -> void {
   callCheaply(done, [this, prefix, after, done] {
+    const auto era = eraOf(Ctx.Store.version());
+    if (eraOf(after) < era)
+      return done(ObjectList{{}, makeVersion(era, 0)});
     Ctx.Store.watch(prefix, after, Duration::zero(), done);
     Ctx.Store.poll();
   });
--- a/src/edge_model/model_upstream.h
+++ b/src/edge_model/model_upstream.h
@@ -54,6 +54,11 @@
   auto isCold() const -> bool { return World.now() < ColdUntil; }
   /// Returns the record that the upstream would register now.
   auto record() const -> UpstreamRecord;
+  /// Like record(), for a record that is written.
+  auto nextReport() -> UpstreamRecord {
+    ++Record.Sequence;
+    return record();
+  }
   /// Returns whether the upstream has received the end of the handshake of \p
   /// f.
   auto isOpen(const FlowKey &f) const -> bool;
--- a/src/fakes/object_store.cpp
+++ b/src/fakes/object_store.cpp
@@ -159,6 +159,20 @@
     it.Done(absl::UnavailableError("the history of changes was dropped"));
 }
 
+auto ObjectStore::restore(const Copy &c) -> void {
+  const auto era = eraOf(LastVersion) + 1;
+  const auto inNewEra = [era](ObjectVersion v) {
+    return makeVersion(era, revisionOf(v));
+  };
+  Objects = c.Objects;
+  for (auto &[key, it] : Objects)
+    it.Version = inNewEra(it.Version);
+  LastVersion = inNewEra(c.Version);
+  HistoryStart = inNewEra(0);
+  Removals.clear();
+  Watches.clear();
+}
+
 auto ObjectStore::currentVersion(const std::string &key) const
     -> ObjectVersion {
   const auto *it = peek(key);
--- a/src/fakes/object_store.h
+++ b/src/fakes/object_store.h
@@ -66,6 +66,17 @@
   /// Unavailable.
   auto dropHistory() -> void;
 
+  /// What the store holds at one moment.
+  struct Copy {
+    std::map<std::string, StoredObject> Objects;
+    ObjectVersion Version = 0;
+  };
+  auto copy() const -> Copy { return {Objects, LastVersion}; }
+  /// Comes back from an earlier copy of this store: later writes are lost,
+  /// revisions are given out again, and the era rises by one. Open watches are
+  /// never answered.
+  auto restore(const Copy &c) -> void;
+
   /// Returns the version of object \p key, or 0 if there is none. Not counted
   /// as a call.
   auto currentVersion(const std::string &key) const -> ObjectVersion;
--- a/test/edge_model/edge_model_test.cpp
+++ b/test/edge_model/edge_model_test.cpp
@@ -106,6 +106,15 @@
   expectNoViolationsWithMixedFaults(1235, 10);
 }
 
+BOOST_AUTO_TEST_CASE(RestoresOfTheStoreAmongOtherFaultsBreakNoRule) {
+  constexpr Duration Length = seconds(20);
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    auto plan = drawFaults(seed, 5, Length);
+    addRestores(plan, seed, 2, Length);
+    expectNoViolations({.Seed = seed}, plan, Length);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SingleInstanceInSingleDataCentreBreaksNoRule) {
   constexpr Duration Length = seconds(6);
   expectNoViolations(
--- a/tools/boragebridge_platform_standin.cpp
+++ b/tools/boragebridge_platform_standin.cpp
@@ -9,6 +9,9 @@
 ///   slow            every response is delayed by two seconds
 ///   lose-answers    every call takes effect and gets no response
 ///   silent-watches  watches never get a response
+///
+/// `POST /standin/restore?age_ms=AGE` replaces the contents by a copy of that
+/// age, at most ten seconds, and raises the era.
 #include "fakes/object_store.h"
 #include "logging/process_events.h"
 #include "logging/process_log.h"
@@ -16,6 +19,7 @@
 #include "net/object_json.h"
 #include "net/url_target.h"
 #include "process/program.h"
+#include "store/store_dialect.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
@@ -57,6 +61,8 @@
 
 constexpr auto SlowDelay = std::chrono::seconds(2);
 constexpr auto PollInterval = std::chrono::milliseconds(10);
+constexpr auto CopyInterval = std::chrono::milliseconds(500);
+constexpr std::size_t MaxCopies = 20;
 constexpr std::string_view ObjectsPath = "/v1/objects";
 
 auto toHttpStatus(const absl::Status &s) -> unsigned {
@@ -65,6 +71,8 @@
     return 404;
   case absl::StatusCode::kAborted:
     return 409;
+  case absl::StatusCode::kOutOfRange:
+    return 410;
   case absl::StatusCode::kResourceExhausted:
     return 429;
   case absl::StatusCode::kInvalidArgument:
@@ -82,12 +90,24 @@
     poll();
   }
 
+  /// Handles \p r; each response gives the era in a header field.
   auto handle(const HttpRequest &r, const HttpRespond &respond) -> void {
+    dispatch(r, [this, respond](HttpResponse out) {
+      out.Headers[std::string(NativeDialect().eraHeader())] =
+          std::to_string(eraOf(Store.version()));
+      respond(std::move(out));
+    });
+  }
+
+private:
+  auto dispatch(const HttpRequest &r, const HttpRespond &respond) -> void {
     const auto target = parseUrlTarget(r.Target);
     if (target.Path == "/state")
       return respond({200, "application/json", dump(), {}});
     if (target.Path == "/standin/faults")
       return setFault(target, respond);
+    if (target.Path == "/standin/restore")
+      return restore(target, respond);
     if (Mode == Fault::Down)
       return respond({503, "application/json", "{}", {}});
     if (Mode == Fault::Refuse)
@@ -97,7 +117,34 @@
     answer(callStore(r, target), respond);
   }
 
-private:
+  auto restore(const UrlTarget &t, const HttpRespond &respond) -> void {
+    const std::chrono::milliseconds age(t.number("age_ms"));
+    const auto n = static_cast<std::size_t>(age / CopyInterval);
+    Store.restore(*(Copies.rbegin() + static_cast<std::ptrdiff_t>(
+                                          std::min(n, Copies.size() - 1))));
+    respond({200, "application/json", dump(), {}});
+  }
+
+  /// The version that a client of the present era means by \p revision.
+  auto versionOf(std::uint64_t revision) const -> ObjectVersion {
+    return revision == 0 ? 0 : makeVersion(eraOf(Store.version()), revision);
+  }
+
+  /// The texts of values as the API has them, with revisions for versions.
+  static auto formatList(ObjectList l) -> std::string {
+    l.CurrentVersion = revisionOf(l.CurrentVersion);
+    for (auto &it : l.Events)
+      it.Object.Version = revisionOf(it.Object.Version);
+    return formatObjectList(l);
+  }
+  static auto formatStored(StoredObject o) -> std::string {
+    o.Version = revisionOf(o.Version);
+    return formatObject(o);
+  }
+  static auto formatRevision(ObjectVersion v) -> std::string {
+    return formatVersion(revisionOf(v));
+  }
+
   auto setFault(const UrlTarget &t, const HttpRespond &respond) -> void {
     const auto mode = t.text("mode");
     for (const auto &it : FaultNames)
@@ -110,21 +157,22 @@
 
   auto callStore(const HttpRequest &r, const UrlTarget &t) -> HttpResponse {
     if (t.Path == ObjectsPath && r.Method == "GET")
-      return toResponse(Store.list(t.text("prefix")), formatObjectList);
+      return toResponse(Store.list(t.text("prefix")), formatList);
     if (!t.Path.starts_with(std::string(ObjectsPath) + "/"))
       return {404, "application/json", "{}", {}};
     const auto key = t.Path.substr(ObjectsPath.size() + 1);
     if (r.Method == "GET")
-      return toResponse(Store.get(key), formatObject);
+      return toResponse(Store.get(key), formatStored);
     if (r.Method == "DELETE")
-      return toWriteResponse(key, Store.remove(key, t.number("expected")));
+      return toWriteResponse(
+          key, Store.remove(key, versionOf(t.number("expected"))));
     if (r.Method != "PUT")
       return {405, "application/json", "{}", {}};
     auto value = parseValue(r.Body);
     if (!value.ok())
       return {400, "text/plain", std::string(value.status().message()), {}};
-    return toWriteResponse(
-        key, Store.put(key, *std::move(value), t.number("expected")));
+    return toWriteResponse(key, Store.put(key, *std::move(value),
+                                          versionOf(t.number("expected"))));
   }
 
   template <typename T, typename Format>
@@ -140,18 +188,24 @@
     if (!v.ok() && v.status().code() == absl::StatusCode::kAborted)
       return {409,
               "application/json",
-              formatVersion(Store.currentVersion(key)),
+              formatRevision(Store.currentVersion(key)),
               {}};
-    return toResponse(v, formatVersion);
+    return toResponse(v, formatRevision);
   }
 
   auto watch(const UrlTarget &t, const HttpRespond &respond) -> void {
     if (Mode == Fault::UnansweredWatches)
       return keepUnanswered(respond);
     const auto wait = std::chrono::milliseconds(t.number("wait_ms"));
-    Store.watch(t.text("prefix"), t.number("after"), wait,
+    const auto after = makeVersion(eraOf(Store.version()), t.number("after"));
+    if (after > Store.version())
+      return answer(toResponse(absl::StatusOr<ObjectList>(
+                                   absl::OutOfRangeError("no such version")),
+                               formatList),
+                    respond);
+    Store.watch(t.text("prefix"), after, wait,
                 [this, respond](const absl::StatusOr<ObjectList> &l) {
-                  answer(toResponse(l, formatObjectList), respond);
+                  answer(toResponse(l, formatList), respond);
                 });
   }
 
@@ -189,6 +243,12 @@
 
   auto poll() -> void {
     Store.poll();
+    if (Copies.empty() || Time.now() - CopiedAt >= CopyInterval) {
+      CopiedAt = Time.now();
+      Copies.push_back(Store.copy());
+      if (Copies.size() > MaxCopies)
+        Copies.pop_front();
+    }
     Timer.expires_after(PollInterval);
     Timer.async_wait([this](auto ec) {
       if (!ec)
@@ -201,6 +261,9 @@
   fakes::ObjectStore Store;
   asio::steady_timer Timer;
   Fault Mode = Fault::None;
+  /// Copies to restore the store from, the oldest one first.
+  std::deque<fakes::ObjectStore::Copy> Copies;
+  TimePoint CopiedAt;
   std::deque<HttpRespond> Unanswered;
 };
 
