--- a/src/config/change_writer.h
+++ b/src/config/change_writer.h
@@ -22,9 +22,6 @@
   /// Delay before the first retry; it doubles up to MaxRetry.
   Duration FirstRetry = std::chrono::milliseconds(20);
   Duration MaxRetry = std::chrono::milliseconds(200);
-  /// Meant for in-doubt changes older than ChangeTimeout. Unused: they are
-  /// retried after at most MaxRetry, too.
-  Duration MaxLateRetry = std::chrono::seconds(2);
   /// Replaced shards are kept this long, for instances that still read them.
   Duration RemoveShardsAfter = std::chrono::seconds(60);
 };
--- a/src/config/configuration_controller.h
+++ b/src/config/configuration_controller.h
@@ -155,7 +155,6 @@
   bool ReadOpen = false;
   bool HeadVersionKnown = false;
   ObjectVersion WatchAfter = 0;
-  TimePoint NextWatch;
 };
 
 } // namespace boragebridge
--- a/src/flow/placement_agreement.h
+++ b/src/flow/placement_agreement.h
@@ -134,7 +134,6 @@
   std::uint64_t SeenConfiguration = 0;
   std::uint64_t SeenHealth = 0;
   std::uint64_t QuarantineVersion = 0;
-  TimePoint LastProposal;
   TimePoint LastCheck;
   std::unordered_map<ServiceId, TimePoint> LastReweight;
   /// For a service that this instance is not the proposer of: since when an
--- a/src/request/request_router.h
+++ b/src/request/request_router.h
@@ -13,7 +13,6 @@
 
 /// How a request is routed.
 enum class RouteKind : std::uint8_t {
-  Local,             ///< This instance holds its ledger.
   Relay,             ///< Relay it to Route::To.
   HolderUnreachable, ///< No live holder is known now; a retry may find it.
   LedgerLost,        ///< Its ledger was lost with its incarnation.
--- a/src/scenario/system_world.h
+++ b/src/scenario/system_world.h
@@ -144,7 +144,6 @@
   SeededRandom Random;
   std::unique_ptr<fakes::RequestWorld> Requests;
   std::set<std::string> Paused;
-  std::map<std::string, TimePoint> ResumedAt;
   std::map<std::pair<std::string, Incarnation>, Revision> HighestRevisions;
   std::vector<std::unique_ptr<Flow>> Flows;
   std::map<Endpoint, Flow *> FlowOf;
