--- a/soak/soak.py
+++ b/soak/soak.py
@@ -446,7 +446,8 @@
         if self.mutation == "none":
             self.spawn(self.inject())
             self.spawn(self.inject())
-            self.spawn(self.restore_repeatedly())
+            if self.options.restores:
+                self.spawn(self.restore_repeatedly())
         else:
             self.spawn(self.inject_deliberate_fault())
         await asyncio.sleep(self.options.seconds)
@@ -472,6 +473,9 @@
     parser.add_argument("--edge", required=True)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30)
+    parser.add_argument("--restores", action="store_true",
+                        help="the store comes back from earlier copies; "
+                        "rules are checked for less of the time")
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--callers", type=int, default=30)
