--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -4,9 +4,9 @@
 ///
 /// An opening packet goes to the upstream that a PlacementPolicy chooses. Every
 /// later packet goes to the upstream that its tag names, whichever instance
-/// receives it. A flow is reset at once if its upstream is gone, if its route
-/// was removed, or if no upstream can take it; its caller can then reconnect
-/// without delay.
+/// receives it, or to the later lifetime of that upstream. A flow is reset at
+/// once if its upstream is gone, if its route was removed, or if no upstream
+/// can take it; its caller can then reconnect without delay.
 ///
 /// Example:
 /// \code
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -8,8 +8,8 @@
 /// not name another upstream.
 ///
 /// Of several lifetimes with one address, the one that started last holds it
-/// until it is gone, in whatever order their records arrive; the others are
-/// gone meanwhile. A record without a start counts as the earliest.
+/// until it is gone, in whatever order their records arrive; the others take no
+/// new flows meanwhile. A record without a start counts as the earliest.
 ///
 /// Example:
 /// \code
@@ -194,6 +194,8 @@
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto endLifetime(UpstreamIndex i, TimePoint now) -> void;
+  /// Replaces the registered upstreams by those of \p all that are not set
+  /// aside.
   auto replaceAll(const std::vector<UpstreamRecord> &all, TimePoint now)
       -> void;
   /// Whether a later record of the upstream is known than \p r, which a
