Log for how long a record is missing and when its upstream last answered

The line has missing_ms and progress_ms now. Lines about single flows move into a module of their own, FlowLog, as edge_server.cpp had grown.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -3,6 +3,7 @@
 #include "boragebridge/metrics.h"
 #include "edge/edge_events.h"
 #include "edge/edge_views.h"
+#include "edge/flow_log.h"
 #include "edge/forwarder.h"
 #include "edge/picker.h"
 #include "logging/process_events.h"
@@ -52,11 +53,6 @@
   return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
 }
 
-auto inMilliseconds(Duration d) -> std::string {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
 class EdgeServer {
 public:
   EdgeServer(const EdgeSettings &s, const EdgeAdapter &a,
@@ -78,6 +74,7 @@
         Policy(Directory, Estimates, Quota, Random,
                {.LocalDataCentre = s.DataCentre}),
         PacketForwarder(Directory, Estimates, Policy),
+        Flows(Log, Directory, Estimates),
         Views(Time, Random, Log, Platform, *a.Records, Directory, Quota,
               {.Self = {s.InstanceName, s.DataCentre, s.Mirror, s.Capacity},
                .Seeds = s.Seeds,
@@ -114,7 +111,6 @@
   auto onDecision(const FlowPacket &p, const EdgeDecision &d,
                   std::span<std::byte> datagram) -> void;
   auto reset(const FlowPacket &p, EdgeReason why) -> void;
-  auto logOpened(const FlowPacket &p, const EdgeDecision &d) -> void;
   auto handleRequest(const HttpRequest &r) -> HttpResponse;
   auto renderMetrics() -> std::string;
   auto setMemoryGauges() -> void;
@@ -139,6 +135,7 @@
   ColdStartQuota Quota;
   Picker Policy;
   Forwarder PacketForwarder;
+  FlowLog Flows;
   EdgeViews Views;
   asio::steady_timer Timer;
   asio::signal_set Signals;
@@ -287,7 +284,7 @@
                                                d.Upstream->Record.WireId),
                   d.Upstream->Record.Address);
     if (p.Opens)
-      logOpened(p, d);
+      Flows.onOpened(p, d, Views.age(Now), Now);
     return;
   case EdgeAction::Reset:
     return reset(p, d.Reason);
@@ -296,41 +293,11 @@
   }
 }
 
-auto EdgeServer::logOpened(const FlowPacket &p, const EdgeDecision &d) -> void {
-  if (!Log.wouldWrite(events::FlowOpened))
-    return;
-  Log.write(events::FlowOpened,
-            {{"caller", toString(p.Flow.Caller)},
-             {"service", toString(p.Flow.Service)},
-             {"copy", std::to_string(p.Acknowledged)},
-             {"upstream", d.Upstream->Record.Name},
-             {"why", std::string(toString(d.Reason))},
-             {"chosen", std::string(toString(d.Choice))},
-             {"expected_ms",
-              inMilliseconds(Estimates.expectedTime(*d.Upstream, Now))},
-             {"strikes", std::to_string(Estimates.failures(*d.Upstream))},
-             {"view_age_ms", inMilliseconds(Views.age(Now))}});
-}
-
 auto EdgeServer::reset(const FlowPacket &p, EdgeReason why) -> void {
   auto &buf = Resets[NextReset++ % Resets.size()];
   Socket->queue(Adapter.Packets->makeReset(p, buf),
                 Adapter.Packets->callerAddress(p.Flow.Caller));
-  if (!Log.wouldWrite(events::FlowReset))
-    return;
-  const auto *u = Directory.find(p.Tag);
-  Log.write(
-      events::FlowReset,
-      {{"caller", toString(p.Flow.Caller)},
-       {"service", toString(p.Flow.Service)},
-       {"why", std::string(toString(why))},
-       {"upstream", u == nullptr ? "unknown" : u->Record.Name},
-       {"gone",
-        std::string(toString(u == nullptr ? GoneReason::None
-                                          : Directory.goneReason(*u, Now)))},
-       {"tag", std::to_string(static_cast<std::uint32_t>(p.Tag))},
-       {"configuration", std::to_string(Directory.configuration().Version)},
-       {"view_age_ms", inMilliseconds(Views.age(Now))}});
+  Flows.onReset(p, why, Views.age(Now), Now);
 }
 
 auto EdgeServer::handleRequest(const HttpRequest &r) -> HttpResponse {
--- a/src/edge/upstream_estimates.cpp
+++ b/src/edge/upstream_estimates.cpp
@@ -162,6 +162,14 @@
   return e == nullptr ? 0 : e->Failures;
 }
 
+auto UpstreamEstimates::lastProgress(const UpstreamLifetime &u) const
+    -> std::optional<TimePoint> {
+  const auto *e = find(u);
+  if (e == nullptr || e->ProgressAt == TimePoint{})
+    return std::nullopt;
+  return e->ProgressAt;
+}
+
 auto UpstreamEstimates::isWidespread(TimePoint now) const -> bool {
   const auto since = now - Options.UnresponsiveWindow;
   std::size_t retransmitting = 0;
--- a/src/edge/upstream_estimates.h
+++ b/src/edge/upstream_estimates.h
@@ -108,6 +108,9 @@
   /// Recent requests of this instance to \p u, with exponential decay.
   auto load(const UpstreamLifetime &u, TimePoint now) const -> double;
   auto failures(const UpstreamLifetime &u) const -> unsigned;
+  /// When a flow of \p u last made progress, if that is known.
+  auto lastProgress(const UpstreamLifetime &u) const
+      -> std::optional<TimePoint>;
 
 private:
   struct Entry {
