Reset a flow for a missing record only if it gets no answer either

Cause: a record that is missing for 2.5 s was taken for the end of its upstream. Records that lapse behind a cut, with the store restored as the cut heals, are not written again, while the upstreams go on serving. Evidence: the resets begin 2,508 ms after the record is missing and 9 ms after an answer of the same upstream came by (progress_ms).

Change: a missing record still keeps new flows away. An open flow goes on until its own packets say that the upstream has ended: one flow retransmits data that has waited for 500 ms, no other flow of the upstream has made progress since it was sent, and flows of most other upstreams are not waiting too (then the link of this instance is the cause). Data sent before a pause of the process does not count. Callers of an upstream that crashed are still reset at once when the limit passes, if one of them is waiting; the first one that was idle is reset by its second retransmission, after 600 ms. A later lifetime at the address of a missing record still resets at once. A flow of an earlier lifetime follows the same rule at its successor.

The model gets the fault lose_records.

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "edge/forwarder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragebridge {
@@ -131,9 +132,9 @@
     return {isGone ? EdgeAction::Reset : EdgeAction::Drop,
             EdgeReason::UnknownTag};
   }
-  if (Directory.isGone(*u, now) && !Directory.isDisputed(*u, now)) {
+  if (!Directory.mayBeRunning(*u, now)) {
     u = Directory.successor(*u, now);
-    if (u == nullptr)
+    if (u == nullptr || hasEnded(*u, now))
       return {EdgeAction::Reset, EdgeReason::UpstreamGone};
     // Only an echo of its own tag shows that the successor has the flow.
     if (p.Tag != u->Tag)
@@ -142,11 +143,20 @@
   if (e == nullptr)
     e = &Flows.insert(p.Flow, now);
   observe(p, *e, *u, now);
+  if (hasEnded(*u, now))
+    return {EdgeAction::Reset, EdgeReason::UpstreamGone};
   if (Estimates.isUnresponsive(*u, now))
     return {EdgeAction::Reset, EdgeReason::UpstreamUnresponsive};
   return {EdgeAction::Forward, why, u};
 }
 
+/// Whether the record of \p u is missing and its flows get no answer.
+auto Forwarder::hasEnded(const UpstreamLifetime &u, TimePoint now) const
+    -> bool {
+  return Directory.goneReason(u, now) == GoneReason::Missing &&
+         Estimates.isSilent(u, now);
+}
+
 /// Whether sequence number \p a comes after \p b, with wrap-around.
 static auto isAfter(std::uint32_t a, std::uint32_t b) -> bool {
   return static_cast<std::int32_t>(a - b) > 0;
@@ -165,7 +175,7 @@
   } else if (p.Length > 0 &&
              now - e.SentAt >= Options.MinRetransmissionInterval &&
              !isAfter(p.Sequence + p.Length, e.NextSequence)) {
-    Estimates.onRetransmission(u, e.SentAt, e.RetransmittedAt, now);
+    Estimates.onRetransmission(u, waitingSince(e, now), e.RetransmittedAt, now);
     e.RetransmittedAt = now;
   }
   if (p.Length > 0 && isAfter(p.Sequence + p.Length, e.NextSequence)) {
@@ -178,6 +188,15 @@
   }
 }
 
+/// Since when the flow's data waits for an answer, as far as this instance can
+/// tell: answers during a pause of this process went unseen.
+auto Forwarder::waitingSince(const FlowEntry &e, TimePoint now) const
+    -> TimePoint {
+  const auto isPaused =
+      LastTick != TimePoint{} && now - LastTick > Options.PauseThreshold;
+  return isPaused ? now : std::max(e.SentAt, ResumedAt);
+}
+
 /// Pins the flow to \p u. The packet echoes what \p u sent, so \p u has
 /// answered.
 auto Forwarder::pin(const FlowPacket &p, FlowEntry &e,
@@ -203,6 +222,7 @@
     // pause.
     Estimates.clearFailures();
     PendingCount = 0;
+    ResumedAt = now;
   }
   LastTick = now;
   while (PendingCount > 0 &&
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -5,8 +5,10 @@
 /// An opening packet goes to the upstream that a PlacementPolicy chooses. Every
 /// later packet goes to the upstream that its tag names, whichever instance
 /// receives it, or to the later lifetime of that upstream. A flow is reset at
-/// once if its upstream is gone, if its route was removed, or if no upstream
-/// can take it; its caller can then reconnect without delay.
+/// once if its upstream has ended, if its route was removed, or if no upstream
+/// can take it; its caller can then reconnect without delay. A missing record
+/// alone does not show that an upstream has ended; its flows must get no answer
+/// besides.
 ///
 /// Example:
 /// \code
@@ -115,6 +117,8 @@
   auto forwardOpening(const FlowPacket &p, FlowEntry &e, const Pick &pick,
                       EdgeReason why, TimePoint now) -> EdgeDecision;
   auto forwardEstablished(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  auto hasEnded(const UpstreamLifetime &u, TimePoint now) const -> bool;
+  auto waitingSince(const FlowEntry &e, TimePoint now) const -> TimePoint;
   auto observe(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
                TimePoint now) -> void;
   auto pin(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
@@ -136,6 +140,8 @@
   std::size_t OldestPending = 0;
   std::size_t PendingCount = 0;
   TimePoint LastTick;
+  /// When the last pause of this process was found.
+  TimePoint ResumedAt;
   Duration AnswerTime{};
 };
 
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -340,9 +340,7 @@
   const auto &latest = Entries[it->second].Lifetime;
   const auto isReachedAlike = latest.Record.Address == u.Record.Address &&
                               latest.Record.Service == u.Record.Service;
-  return isReachedAlike && (!isGone(latest, now) || isDisputed(latest, now))
-             ? &latest
-             : nullptr;
+  return isReachedAlike && mayBeRunning(latest, now) ? &latest : nullptr;
 }
 
 auto UpstreamDirectory::upstreamsOf(ServiceId service) const
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -54,9 +54,9 @@
   bool Superseded = false;
 };
 
-/// Why no flow to an upstream can be open any more.
+/// Why an upstream is gone, by the records.
 enum class GoneReason : std::uint8_t {
-  /// Flows may be open.
+  /// It is not gone.
   None,
   /// A later lifetime has its name.
   Restarted,
@@ -70,7 +70,7 @@
 
 /// Limits of an UpstreamDirectory.
 struct UpstreamDirectoryOptions {
-  /// An upstream whose record is missing for longer is considered gone. Records
+  /// An upstream whose record is missing for longer gets no new flows. Records
   /// that expire during a store outage are registered again within this time.
   Duration MissingLimit = std::chrono::milliseconds(2500);
   /// After this time a restored store has removed the records of upstreams that
@@ -148,17 +148,19 @@
       -> const std::vector<const UpstreamLifetime *> &;
   auto coldPerSecond(ServiceId service) const -> double;
 
-  /// Whether no flow to \p u can be open any more.
+  /// Whether, by the records, \p u is gone. It gets no new flows.
   auto isGone(const UpstreamLifetime &u, TimePoint now) const -> bool {
     return goneReason(u, now) != GoneReason::None;
   }
   auto goneReason(const UpstreamLifetime &u, TimePoint now) const -> GoneReason;
-  /// Whether \p u is gone only by the record of another lifetime at its
-  /// address, while its own record is not missing for too long. It gets no new
-  /// flows, but its open ones may go on: an upstream takes only packets that
-  /// carry its own identity.
-  auto isDisputed(const UpstreamLifetime &u, TimePoint now) const -> bool {
-    return u.Superseded && !u.Ended && !isMissingTooLong(u, now);
+  /// Whether flows to \p u may be open. They may be although \p u isGone(): its
+  /// record may be missing although it is running, as when the store was
+  /// restored, or another lifetime may have claimed its address. Only if its
+  /// record is missing for too long and its address is taken, or if a later
+  /// lifetime has its name, it has certainly ended. An upstream takes only
+  /// packets that carry its own identity.
+  auto mayBeRunning(const UpstreamLifetime &u, TimePoint now) const -> bool {
+    return !u.Ended && !(u.Superseded && isMissingTooLong(u, now));
   }
   /// Whether new flows may go to \p u.
   auto mayOpen(const UpstreamLifetime &u, TimePoint now) const -> bool;
--- a/src/edge/upstream_estimates.cpp
+++ b/src/edge/upstream_estimates.cpp
@@ -54,6 +54,7 @@
   auto &e = entry(u);
   e.ProgressAt = now;
   e.WaitingFlows = 0;
+  e.SilentAt = {};
   if (e.Failures == 0 && DataCentres.empty())
     return;
   e.Failures = 0;
@@ -107,8 +108,11 @@
   // One failure per flow until there is progress.
   if (previousAt <= e.ProgressAt)
     recordFailure(u, e, now);
-  const auto isFirstLate = now - firstSentAt >= Options.UnresponsiveTime &&
-                           previousAt - firstSentAt < Options.UnresponsiveTime;
+  const auto isLate = now - firstSentAt >= Options.UnresponsiveTime;
+  if (isLate && e.ProgressAt <= firstSentAt)
+    e.SilentAt = now;
+  const auto isFirstLate =
+      isLate && previousAt - firstSentAt < Options.UnresponsiveTime;
   if (isFirstLate && now - PromptAnswers.front() <= Options.PromptWindow)
     recordWaiting(e, now);
 }
@@ -141,6 +145,7 @@
     it.Failures = 0;
     it.WaitingFlows = 0;
     it.AvoidUntil = {};
+    it.SilentAt = {};
   }
   DataCentres.clear();
 }
@@ -170,11 +175,14 @@
   return e->ProgressAt;
 }
 
-auto UpstreamEstimates::isWidespread(TimePoint now) const -> bool {
+auto UpstreamEstimates::isWidespread(TimePoint now, const Entry *except) const
+    -> bool {
   const auto since = now - Options.UnresponsiveWindow;
   std::size_t retransmitting = 0;
   std::size_t clean = 0;
   for (const auto &it : Entries) {
+    if (&it == except)
+      continue;
     if (it.RetransmittedAt >= since)
       ++retransmitting;
     else if (it.ProgressAt >= since)
@@ -190,6 +198,13 @@
          now - e->FirstWaitingAt <= Options.MaxAvoidance && !isWidespread(now);
 }
 
+auto UpstreamEstimates::isSilent(const UpstreamLifetime &u, TimePoint now) const
+    -> bool {
+  const auto *e = find(u);
+  return e != nullptr && e->SilentAt != TimePoint{} &&
+         now - e->SilentAt <= Options.SilenceRetention && !isWidespread(now, e);
+}
+
 auto UpstreamEstimates::expectedTime(const UpstreamLifetime &u,
                                      TimePoint now) const -> Duration {
   const auto *e = find(u);
--- a/src/edge/upstream_estimates.h
+++ b/src/edge/upstream_estimates.h
@@ -15,9 +15,14 @@
 /// An upstream with failures is a suspect. Any progress of any of its flows
 /// clears both kinds of observations, and the suspicion of its data centre.
 ///
+/// Where an upstream is doubtful for another reason, such as a missing record,
+/// less is enough: it is silent if one flow retransmits data that has waited
+/// for long, and no other flow has made progress since the data was sent.
+///
 /// Handles tens of thousands of openings per second: each call takes constant
-/// time, except clearFailures(), and isUnresponsive() for an upstream with
-/// waiting flows, which scan all upstreams. Free of I/O; not thread-safe.
+/// time, except clearFailures(), and isUnresponsive() and isSilent() for an
+/// upstream with waiting flows, which scan all upstreams. Free of I/O; not
+/// thread-safe.
 #ifndef BORAGEBRIDGE_EDGE_UPSTREAM_ESTIMATES_H
 #define BORAGEBRIDGE_EDGE_UPSTREAM_ESTIMATES_H
 
@@ -51,6 +56,9 @@
   unsigned UnresponsiveFlows = 3;
   Duration UnresponsiveTime = std::chrono::milliseconds(500);
   Duration UnresponsiveWindow = std::chrono::milliseconds(1500);
+  /// An observation of a silent upstream is valid for this long. A flow that
+  /// still waits retransmits sooner, and renews it.
+  Duration SilenceRetention = std::chrono::seconds(2);
   /// A handshake that takes at most PromptAnswer is prompt. A waiting flow
   /// counts against its upstream only after two prompt handshakes within
   /// PromptWindow; otherwise the link of this instance may be the cause.
@@ -103,6 +111,9 @@
   auto hasFailures(const UpstreamLifetime &u) const -> bool;
   /// Whether there is strong evidence that \p u does not respond to any flow.
   auto isUnresponsive(const UpstreamLifetime &u, TimePoint now) const -> bool;
+  /// Whether no flow of \p u makes progress, although data to it is waiting.
+  /// Too weak to reset flows of an upstream that is not doubtful otherwise.
+  auto isSilent(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Expected time until one more request is answered.
   auto expectedTime(const UpstreamLifetime &u, TimePoint now) const -> Duration;
   /// Recent requests of this instance to \p u, with exponential decay.
@@ -127,6 +138,8 @@
     /// Flows found waiting for UnresponsiveTime since FirstWaitingAt.
     unsigned WaitingFlows = 0;
     TimePoint FirstWaitingAt;
+    /// When the upstream was last found to be silent.
+    TimePoint SilentAt;
   };
   struct DataCentre {
     unsigned Suspects = 0;
@@ -138,10 +151,10 @@
   auto recordFailure(const UpstreamLifetime &u, Entry &e, TimePoint now)
       -> void;
   auto recordWaiting(Entry &e, TimePoint now) -> void;
-  /// Whether flows of most upstreams had to retransmit within
-  /// UnresponsiveWindow. The cause is then local to this instance, or affects
-  /// all upstreams.
-  auto isWidespread(TimePoint now) const -> bool;
+  /// Whether flows of most upstreams, not counting \p except, had to retransmit
+  /// within UnresponsiveWindow. The cause is then local to this instance, or
+  /// affects all upstreams.
+  auto isWidespread(TimePoint now, const Entry *except = nullptr) const -> bool;
   auto avoidance(unsigned failures) const -> Duration;
 
   UpstreamEstimatesOptions Options;
--- a/src/edge_model/edge_model.cpp
+++ b/src/edge_model/edge_model.cpp
@@ -441,7 +441,8 @@
 
 auto EdgeModel::registerUpstream(std::size_t upstream) -> void {
   const auto &entry = UpstreamEntries[upstream];
-  if (entry.Ended || entry.Model->state() != UpstreamState::Running)
+  if (entry.Ended || entry.Model->state() != UpstreamState::Running ||
+      UnregisteredDataCentres.contains(entry.DataCentre))
     return;
   const auto model = entry.Model;
   const auto name = model->record().Name;
--- a/src/edge_model/edge_model.h
+++ b/src/edge_model/edge_model.h
@@ -103,6 +103,9 @@
   /// Faults of upstreams. The record of an upstream that is not running expires
   /// unless the upstream runs again in time.
   auto setUpstreamState(std::size_t upstream, UpstreamState s) -> void;
+  /// Removes the records of a data centre's upstreams, which go on serving,
+  /// from the store, or writes them again.
+  auto setRecordsMissing(std::size_t dataCentre, bool missing) -> void;
   /// Multiplies the speed by \p factor. A factor below 1 begins a fault; any
   /// other factor ends it.
   auto setUpstreamSpeed(std::size_t upstream, double factor) -> void;
@@ -222,6 +225,8 @@
   std::vector<DataCentreId> DataCentreIds;
   std::set<std::size_t> CutDataCentres;
   std::set<std::size_t> WithdrawnDataCentres;
+  /// The data centres whose upstreams write no records.
+  std::set<std::size_t> UnregisteredDataCentres;
   std::vector<InstanceEntry> InstanceEntries;
   std::vector<UpstreamEntry> UpstreamEntries;
   std::unordered_map<Endpoint, std::size_t> UpstreamAt;
--- a/src/edge_model/edge_model_faults.cpp
+++ b/src/edge_model/edge_model_faults.cpp
@@ -113,6 +113,22 @@
     scheduleRecordExpiry(upstream);
 }
 
+auto EdgeModel::setRecordsMissing(std::size_t dataCentre, bool missing)
+    -> void {
+  if (missing)
+    UnregisteredDataCentres.insert(dataCentre);
+  else
+    UnregisteredDataCentres.erase(dataCentre);
+  for (const auto n : upstreams()) {
+    if (UpstreamEntries[n].DataCentre != dataCentre)
+      continue;
+    if (missing)
+      erase(Format.upstreamPrefix() + UpstreamEntries[n].Model->record().Name);
+    else
+      registerUpstream(n);
+  }
+}
+
 auto EdgeModel::setUpstreamSpeed(std::size_t upstream, double factor) -> void {
   auto &model = *UpstreamEntries[upstream].Model;
   model.setSpeed(model.speed() * factor);
--- a/src/edge_model/faults.cpp
+++ b/src/edge_model/faults.cpp
@@ -150,6 +150,12 @@
   return [&m, n] { m.setUpstreamSpeed(n, Factor); };
 }
 
+auto removeRecords(EdgeModel &m, std::uint64_t selector) -> EndFault {
+  const auto n = selector % m.dataCentres();
+  m.setRecordsMissing(n, true);
+  return [&m, n] { m.setRecordsMissing(n, false); };
+}
+
 auto replaceUpstreams(EdgeModel &m, std::uint64_t selector) -> EndFault {
   constexpr Duration Gap = milliseconds(800);
   constexpr std::uint64_t Share = 3;
@@ -214,11 +220,12 @@
     FaultKind{"storm_of_changes", changeRoutesRepeatedly},
     FaultKind{"burst", raiseLoad},
     FaultKind{"restore_store", restoreFromCopy},
+    FaultKind{"lose_records", removeRecords},
 };
 
 /// The kinds that mixed plans are drawn from. The others have draws of their
 /// own, so that a seed keeps its plan.
-constexpr std::size_t MixedKinds = FaultKinds.size() - 1;
+constexpr std::size_t MixedKinds = FaultKinds.size() - 2;
 
 } // namespace
 
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -120,6 +120,119 @@
   BOOST_TEST((d.Reason == EdgeReason::UpstreamGone));
 }
 
+// The records had lapsed behind a cut, and the store was restored without them.
+BOOST_AUTO_TEST_CASE(OpenFlowOfServingUpstreamWithoutRecordIsNotReset) {
+  start({record("i-1", 1), record("i-2", 2)});
+  const auto tag = tagOf("i-1", seconds(1000));
+  advance(seconds(3));
+  Directory.removeUpstream("i-1", now());
+  constexpr std::uint32_t Answer = 1000;
+  for (std::uint32_t i = 0; i < 20; ++i) {
+    const auto d =
+        PacketForwarder.decide(data(1, tag, 100 * i, Answer * i), now());
+    BOOST_TEST((d.Action == EdgeAction::Forward));
+    advance(milliseconds(500));
+  }
+  // A flow that was idle, or that came through another instance before.
+  BOOST_TEST((PacketForwarder.decide(data(2, tag, 700), now()).Action ==
+              EdgeAction::Forward));
+  for (int i = 0; i < 20; ++i)
+    BOOST_TEST(openedTo() == "i-2");
+}
+
+BOOST_AUTO_TEST_CASE(CrashedUpstreamWithoutRecordResetsItsFlowsAtOnce) {
+  start({record("i-1", 1)});
+  const auto tag = tagOf("i-1", seconds(1000));
+  const auto decide = [&](std::uint16_t port) {
+    return PacketForwarder.decide(data(port, tag), now());
+  };
+  decide(1);
+  advance(milliseconds(200));
+  Directory.removeUpstream("i-1", now());
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST((decide(1).Action == EdgeAction::Forward));
+    advance(milliseconds(800));
+  }
+  advance(milliseconds(200));
+  BOOST_TEST((decide(1).Reason == EdgeReason::UpstreamGone));
+  BOOST_TEST((decide(2).Action == EdgeAction::Reset));
+}
+
+BOOST_AUTO_TEST_CASE(IdleFlowOfCrashedUpstreamWithoutRecordIsResetIn600Ms) {
+  start({record("i-1", 1)});
+  Directory.removeUpstream("i-1", now());
+  advance(seconds(20));
+  const auto p = data(1, tagOf("i-1", seconds(1000)));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  advance(milliseconds(200));
+  // A single packet may have been lost.
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  advance(milliseconds(400));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerEndsSilenceOfUpstreamWithoutRecord) {
+  start({record("i-1", 1)});
+  const auto tag = tagOf("i-1", seconds(1000));
+  PacketForwarder.decide(data(2, tag), now());
+  Directory.removeUpstream("i-1", now());
+  advance(seconds(3));
+  PacketForwarder.decide(data(1, tag), now());
+  advance(milliseconds(700));
+  PacketForwarder.decide(data(2, tag, 100, 900), now());
+  // This flow alone gets no answer.
+  BOOST_TEST((PacketForwarder.decide(data(1, tag), now()).Action ==
+              EdgeAction::Forward));
+  BOOST_TEST((PacketForwarder.decide(data(3, tag), now()).Action ==
+              EdgeAction::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(DataSentBeforePauseIsNoEvidenceOfSilence) {
+  start({record("i-1", 1)});
+  const auto p = data(1, tagOf("i-1", seconds(1000)));
+  advance(milliseconds(20));
+  PacketForwarder.decide(p, now());
+  Directory.removeUpstream("i-1", now());
+  Time.advance(seconds(5));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  PacketForwarder.tick(now());
+  advance(milliseconds(200));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  advance(milliseconds(600));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
+}
+
+// Flows of all upstreams wait when the link of this instance is congested.
+BOOST_AUTO_TEST_CASE(CongestedLinkIsNoEvidenceOfSilence) {
+  start({record("i-1", 1), record("i-2", 2), record("i-3", 3)});
+  Directory.removeUpstream("i-1", now());
+  advance(seconds(3));
+  auto last = EdgeAction::Drop;
+  for (int copy = 0; copy < 2; ++copy) {
+    for (const std::uint16_t i : {3, 2, 1})
+      last =
+          PacketForwarder
+              .decide(data(i, tagOf("i-" + std::to_string(i), seconds(1000))),
+                      now())
+              .Action;
+    advance(milliseconds(600));
+  }
+  BOOST_TEST((last == EdgeAction::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartGoesOnAtUpstreamWithoutRecord) {
+  auto r = record("i-1", 1);
+  start({r});
+  const auto before = tagOf(r.Name, r.StartedAt);
+  r.StartedAt += seconds(9);
+  Directory.putUpstream(r, now());
+  Directory.removeUpstream(r.Name, now());
+  advance(seconds(3));
+  const auto d = PacketForwarder.decide(data(1, before), now());
+  BOOST_TEST_REQUIRE((d.Action == EdgeAction::Forward));
+  BOOST_TEST((d.Upstream->Tag == tagOf(r.Name, r.StartedAt)));
+}
+
 BOOST_AUTO_TEST_CASE(FlowOfDrainingUpstreamContinues) {
   auto r = record("i-1", 1);
   start({r});
--- a/test/edge_model/edge_model_test.cpp
+++ b/test/edge_model/edge_model_test.cpp
@@ -115,6 +115,14 @@
   }
 }
 
+// Records had lapsed, and none was written again.
+BOOST_AUTO_TEST_CASE(UpstreamsThatServeWithoutRecordsKeepTheirFlows) {
+  const auto *kind = findFaultKind("lose_records");
+  for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    expectNoViolations({.Seed = seed}, {{kind, seconds(1), seconds(12), seed}},
+                       seconds(13));
+}
+
 BOOST_AUTO_TEST_CASE(SingleInstanceInSingleDataCentreBreaksNoRule) {
   constexpr Duration Length = seconds(6);
   expectNoViolations(
