Ask other instances for an upstream whose record the store lacks

Change: an instance that meets an unknown tag asks up to four others, of its own data centre and of others in turn, for the record. One that forwards flows of the upstream answers with it; one that has found it silent does not. The upstream is added to the directory as one whose record is missing: open flows go on, new ones do not go there. If nobody knows it, flows are reset after 2.5 s as before. At most 64 tags are looked up in a second. The codec of the model's records serves for this, too.

Tests: EdgeModelRuns/InstancesThatStartWithoutRecordsOfUpstreamsResetNoFlow failed with the lookup taken out (5 resets); EdgeUpstreamLookup, EdgeUpstreamDirectory/Unregistered*.

--- a/src/edge/edge_events.h
+++ b/src/edge/edge_events.h
@@ -35,6 +35,8 @@
 inline constexpr LogEvent MemberExpired{2316, Severity::Info, "member_expired"};
 inline constexpr LogEvent UpstreamsListed{2317, Severity::Info,
                                           "upstreams_listed"};
+inline constexpr LogEvent UpstreamLookedUp{2318, Severity::Info,
+                                           "upstream_looked_up"};
 inline constexpr LogEvent ParentLost{2313, Severity::Warning, "parent_lost"};
 
 } // namespace boragebridge::events
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -6,6 +6,8 @@
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
 #include "edge/picker.h"
+#include "edge/upstream_lookup.h"
+#include "edge/upstream_record_text.h"
 #include "logging/process_events.h"
 #include "logging/stream_log.h"
 #include "net/datagram_socket.h"
@@ -90,6 +92,11 @@
                                         std::move(done));
                    },
                .Discovery = {.IsNewFleet = s.IsNewFleet}}),
+        Lookup(
+            Time, Log, Directory, [this] { return Views.peers(); },
+            [this](const auto &peer, auto tag, const auto &done) {
+              askPeer(peer, tag, done);
+            }),
         Timer(Io), Signals(Io, SIGTERM, SIGINT, SIGHUP),
         HandshakeMs(Metrics.distribution("edge_handshake_milliseconds",
                                          "From an opening to its answer")) {}
@@ -104,6 +111,10 @@
       -> std::unique_ptr<PlatformClient>;
   /// Handler of the requests of other instances.
   auto makePeerApi() -> HttpHandler;
+  /// The response to an instance that asks for the upstream of \p tag.
+  auto answerLookup(UpstreamTag tag) -> HttpResponse;
+  auto askPeer(const Endpoint &peer, UpstreamTag tag,
+               const UpstreamLookup::Answer &done) -> void;
   auto advertiseMirror() -> void;
   /// Finds out whether the store answers, by a cheap call for few objects.
   auto probeStore(StoreProbe::Result done) -> void;
@@ -137,6 +148,7 @@
   Forwarder PacketForwarder;
   FlowLog Flows;
   EdgeViews Views;
+  UpstreamLookup Lookup;
   asio::steady_timer Timer;
   asio::signal_set Signals;
   MetricRegistry Metrics;
@@ -227,6 +239,8 @@
 auto EdgeServer::makePeerApi() -> HttpHandler {
   return [this, mirror = makeMirrorApi(Views.mirror(), Time)](
              const HttpRequest &r, const HttpRespond &respond) {
+    if (const auto tag = parseLookupTarget(r.Target); tag != UpstreamTag::None)
+      return respond(answerLookup(tag));
     if (r.Method != "POST" || r.Target != SeedPath)
       return mirror(r, respond);
     Endpoint peer;
@@ -237,6 +251,33 @@
   };
 }
 
+auto EdgeServer::answerLookup(UpstreamTag tag) -> HttpResponse {
+  const auto now = Time.now();
+  const auto *u = PacketForwarder.upstreamWithFlows(tag, now);
+  if (u == nullptr)
+    return textResponse(HttpStatus::NotFound, "unknown\n");
+  auto r = u->Record;
+  r.ColdFor = std::max(u->ColdUntil - now, Duration::zero());
+  return {static_cast<unsigned>(HttpStatus::Ok),
+          "application/json",
+          formatUpstreamRecord(r),
+          {}};
+}
+
+auto EdgeServer::askPeer(const Endpoint &peer, UpstreamTag tag,
+                         const UpstreamLookup::Answer &done) -> void {
+  httpCall(
+      Io, peer,
+      {.Method = "GET", .Target = lookupTarget(tag), .Body = {}, .Headers = {}},
+      MirrorTimeout, [done](const auto &r) {
+        if (!r.ok())
+          return done(r.status());
+        if (r->Status != static_cast<unsigned>(HttpStatus::Ok))
+          return done(absl::NotFoundError("no such upstream"));
+        done(parseUpstreamRecord(r->Body));
+      });
+}
+
 auto EdgeServer::probeStore(StoreProbe::Result done) -> void {
   // Of no era: if the store has eras, the poll says so without reading changes.
   constexpr ObjectVersion AnyVersion = 1;
@@ -270,7 +311,10 @@
     return;
   }
   Now = Time.now();
-  onDecision(p, PacketForwarder.decide(p, Now), datagram);
+  const auto d = PacketForwarder.decide(p, Now);
+  if (d.Reason == EdgeReason::UnknownTag)
+    Lookup.onUnknownTag(p.Tag, Now);
+  onDecision(p, d, datagram);
 }
 
 auto EdgeServer::onDecision(const FlowPacket &p, const EdgeDecision &d,
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -102,6 +102,9 @@
   /// any mirror. The rounds of different instances are offset, so that each
   /// member hears from AdvertisementsPerRound others in a round.
   auto nextAdvertisements(TimePoint now) -> std::vector<Endpoint>;
+  /// The mirrors of the other members, of this data centre and of others in
+  /// turn, each in the order after this instance.
+  auto peers() const -> std::vector<Endpoint>;
   /// Whether the views of upstreams, configuration and withdrawn data centres
   /// have all been received.
   auto isComplete() const -> bool;
@@ -141,6 +144,10 @@
   auto tickWatchers(TimePoint now) -> void;
   /// The records in \p l that can be parsed.
   auto parseMembers(const ObjectList &l) const -> std::vector<MemberRecord>;
+  /// The mirrors of the other members that are, or are not, in this data
+  /// centre, from the one after this instance on, in an order that all
+  /// instances share.
+  auto otherMirrors(bool isLocal) const -> std::vector<Endpoint>;
   /// The reader of the members that determine the parent; empty if it is not
   /// determined before the views are read.
   auto makeMemberReader() -> ParentDiscovery::ReadMembers;
--- a/src/edge/edge_views_members.cpp
+++ b/src/edge/edge_views_members.cpp
@@ -26,26 +26,41 @@
       Options.Self.Address.Port == 0)
     return {};
   NextAdvertisement = now + Options.AdvertisementInterval;
-  // The others, from the one after this instance on, in an order that all
-  // instances share.
-  std::vector<Endpoint> others;
+  const auto others = otherMirrors(true);
+  const auto n = std::min(Options.AdvertisementsPerRound, others.size());
+  const auto first = n * AdvertisementRound++;
+  std::vector<Endpoint> out;
+  for (std::size_t i = 0; i < n; ++i)
+    out.push_back(others[(first + i) % others.size()]);
+  return out;
+}
+
+auto EdgeViews::otherMirrors(bool isLocal) const -> std::vector<Endpoint> {
+  std::vector<Endpoint> out;
   std::size_t before = 0;
   for (const auto &[name, it] : Members) {
     if (name == Options.Self.Name || it.Address.Port == 0 ||
-        it.DataCentre != Options.Self.DataCentre)
+        (it.DataCentre == Options.Self.DataCentre) != isLocal)
       continue;
     if (name < Options.Self.Name)
       ++before;
-    others.push_back(it.Address);
+    out.push_back(it.Address);
   }
-  std::rotate(others.begin(),
-              others.begin() + static_cast<std::ptrdiff_t>(before),
-              others.end());
-  const auto n = std::min(Options.AdvertisementsPerRound, others.size());
-  const auto first = n * AdvertisementRound++;
+  std::rotate(out.begin(), out.begin() + static_cast<std::ptrdiff_t>(before),
+              out.end());
+  return out;
+}
+
+auto EdgeViews::peers() const -> std::vector<Endpoint> {
+  const auto local = otherMirrors(true);
+  const auto remote = otherMirrors(false);
   std::vector<Endpoint> out;
-  for (std::size_t i = 0; i < n; ++i)
-    out.push_back(others[(first + i) % others.size()]);
+  for (std::size_t i = 0; i < std::max(local.size(), remote.size()); ++i) {
+    if (i < local.size())
+      out.push_back(local[i]);
+    if (i < remote.size())
+      out.push_back(remote[i]);
+  }
   return out;
 }
 
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -157,6 +157,16 @@
          Estimates.isSilent(u, now);
 }
 
+auto Forwarder::upstreamWithFlows(UpstreamTag tag, TimePoint now) const
+    -> const UpstreamLifetime * {
+  const auto *u = Directory.find(tag);
+  if (u == nullptr)
+    return nullptr;
+  const auto *running =
+      Directory.mayBeRunning(*u, now) ? u : Directory.successor(*u, now);
+  return running == nullptr || hasEnded(*running, now) ? nullptr : u;
+}
+
 /// Whether sequence number \p a comes after \p b, with wrap-around.
 static auto isAfter(std::uint32_t a, std::uint32_t b) -> bool {
   return static_cast<std::int32_t>(a - b) > 0;
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -93,6 +93,10 @@
   /// few tens of milliseconds, after decide() was called for all queued
   /// packets.
   auto tick(TimePoint now) -> void;
+  /// The upstream that \p tag names, if flows with this tag may be open, there
+  /// or at a later lifetime; else null.
+  auto upstreamWithFlows(UpstreamTag tag, TimePoint now) const
+      -> const UpstreamLifetime *;
   /// How often \p r was the reason of a decision.
   auto count(EdgeReason r) const -> std::uint64_t {
     return Counts[static_cast<std::size_t>(r)];
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -130,18 +130,48 @@
 auto UpstreamDirectory::add(const UpstreamRecord &r, TimePoint now) -> void {
   if (const auto it = ByName.find(r.Name); it != ByName.end())
     endLifetime(it->second, now);
+  const auto *u = insert(r, now);
+  if (u == nullptr)
+    return;
+  ByName[r.Name] = u->Index;
+  Latest[r.Name] = u->Index;
+  addToAddress(*u, now);
+}
+
+auto UpstreamDirectory::insert(const UpstreamRecord &r, TimePoint now)
+    -> UpstreamLifetime * {
   auto *entry = allocate();
   if (entry == nullptr)
-    return;
+    return nullptr;
   auto &u = entry->Lifetime;
   u.Record = r;
   u.Tag = tagOf(r.Name, r.StartedAt);
   u.ColdUntil = now + r.ColdFor;
   ByServiceIsStale = true;
-  ByName[r.Name] = u.Index;
-  Latest[r.Name] = u.Index;
   claimTag(u);
-  addToAddress(u, now);
+  return &u;
+}
+
+auto UpstreamDirectory::addUnregistered(const UpstreamRecord &r, TimePoint now)
+    -> void {
+  if (findLifetime(r) != nullptr)
+    return;
+  const auto latest = Latest.find(r.Name);
+  const auto isLatest = latest == Latest.end();
+  // The record of a later lifetime than the known one is still to be read.
+  if (!isLatest &&
+      Entries[latest->second].Lifetime.Record.StartedAt < r.StartedAt)
+    return;
+  auto *u = insert(r, now);
+  if (u == nullptr)
+    return;
+  u->Ended = !isLatest;
+  // Not when it was looked up, but long before, the record became missing.
+  u->MissingSince = now - Options.MissingLimit - Duration(1);
+  if (isLatest)
+    Latest[r.Name] = u->Index;
+  addToAddress(*u, now);
+  rebuild();
 }
 
 auto UpstreamDirectory::update(UpstreamLifetime &u, const UpstreamRecord &r,
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -108,6 +108,10 @@
   auto putUpstream(const UpstreamRecord &r, TimePoint now) -> void;
   /// Marks the record \p name as missing from the store.
   auto removeUpstream(const std::string &name, TimePoint now) -> void;
+  /// Adds an upstream that the store has no record of and that another instance
+  /// knows, unless it is known here. Flows to it may be open; it gets no new
+  /// ones.
+  auto addUnregistered(const UpstreamRecord &r, TimePoint now) -> void;
   /// Returns false, and changes nothing, if \p c is older than the current
   /// version.
   auto setConfiguration(EdgeConfiguration c) -> bool;
@@ -188,6 +192,8 @@
   /// The lifetime that \p r describes, including ended ones, or null.
   auto findLifetime(const UpstreamRecord &r) -> UpstreamLifetime *;
   auto allocate() -> Entry *;
+  /// Adds the lifetime that \p r describes. Returns null at the limit.
+  auto insert(const UpstreamRecord &r, TimePoint now) -> UpstreamLifetime *;
   auto update(UpstreamLifetime &u, const UpstreamRecord &r, TimePoint now)
       -> void;
   /// Determines which lifetime holds \p address.
--- a/src/edge_model/edge_model.cpp
+++ b/src/edge_model/edge_model.cpp
@@ -1,5 +1,7 @@
 #include "edge_model/edge_model.h"
 
+#include "edge/upstream_record_text.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -448,7 +450,7 @@
   const auto name = model->record().Name;
   write(
       Format.upstreamPrefix() + name,
-      [model] { return formatUpstream(model->nextReport()); },
+      [model] { return formatUpstreamRecord(model->nextReport()); },
       [this, model, name, upstream] {
         if (model->record().Draining)
           Checker.onDrainAccepted(name, now());
--- a/src/edge_model/json_record_format.cpp
+++ b/src/edge_model/json_record_format.cpp
@@ -1,5 +1,6 @@
 #include "edge_model/json_record_format.h"
 
+#include "edge/upstream_record_text.h"
 #include "net/json_text.h"
 
 #include <stdexcept>
@@ -20,34 +21,9 @@
   return e;
 }
 
-auto formatUpstream(const UpstreamRecord &r) -> std::string {
-  return json::serialize(json::object{{"wire_id", r.WireId},
-                                      {"started_ms", r.StartedAt.count()},
-                                      {"service", raw(r.Service)},
-                                      {"data_centre", raw(r.DataCentre)},
-                                      {"address", toString(r.Address)},
-                                      {"slots", r.Slots},
-                                      {"draining", r.Draining},
-                                      {"sequence", r.Sequence},
-                                      {"cold_ms", toMilliseconds(r.ColdFor)}});
-}
-
 auto JsonRecordFormat::decodeUpstream(const StoredObject &o) const
     -> absl::StatusOr<UpstreamRecord> {
-  return readJson(o.Value, [&](const json::value &v) {
-    UpstreamRecord r;
-    r.Name = nameInKey(o.Key, upstreamPrefix());
-    r.WireId = v.at("wire_id").to_number<std::uint64_t>();
-    r.StartedAt = milliseconds(v.at("started_ms").to_number<std::int64_t>());
-    r.Service = ServiceId{v.at("service").to_number<std::uint64_t>()};
-    r.DataCentre = DataCentreId{v.at("data_centre").to_number<std::uint64_t>()};
-    r.Address = parseEndpointValue(v.at("address"));
-    r.Slots = v.at("slots").to_number<unsigned>();
-    r.Draining = v.at("draining").as_bool();
-    r.Sequence = v.at("sequence").to_number<std::uint64_t>();
-    r.ColdFor = milliseconds(v.at("cold_ms").to_number<std::int64_t>());
-    return r;
-  });
+  return parseUpstreamRecord(o.Value);
 }
 
 auto formatConfiguration(const EdgeConfiguration &c) -> std::string {
--- a/src/edge_model/json_record_format.h
+++ b/src/edge_model/json_record_format.h
@@ -8,13 +8,11 @@
 
 namespace boragebridge::edge_model {
 
-/// Returns the JSON text of one record, without its name; the name is in the
-/// key.
-auto formatUpstream(const UpstreamRecord &r) -> std::string;
+/// Returns the JSON text of \p c.
 auto formatConfiguration(const EdgeConfiguration &c) -> std::string;
 
-/// Decodes records that formatUpstream() and formatConfiguration() wrote. The
-/// object is stateless and may be used from any thread.
+/// Decodes records that formatUpstreamRecord() and formatConfiguration() wrote.
+/// The object is stateless and may be used from any thread.
 class JsonRecordFormat final : public RecordFormat {
 public:
   auto upstreamPrefix() const -> std::string override { return "upstreams/"; }
--- a/src/edge_model/model_instance.cpp
+++ b/src/edge_model/model_instance.cpp
@@ -125,7 +125,12 @@
                    [this, &owner](auto done) {
                      owner.readSnapshot(Format.memberPrefix(), done);
                    },
-               .Discovery = {.IsNewFleet = owner.StartCount == 1}}) {}
+               .Discovery = {.IsNewFleet = owner.StartCount == 1}}),
+        Lookup(
+            owner.Ctx.Time, Log, Directory, [this] { return Views.peers(); },
+            [&owner](const auto &at, auto tag, const auto &done) {
+              owner.askPeer(at, tag, done);
+            }) {}
 
   /// Returns the configured baseline policy, or a Picker if none is configured.
   auto choosePolicy(DataCentreId localDataCentre) -> PlacementPolicy & {
@@ -147,6 +152,7 @@
   std::unique_ptr<PlacementPolicy> Policy;
   Forwarder PacketForwarder;
   EdgeViews Views;
+  UpstreamLookup Lookup;
   TimePoint LastExpire;
   double CheapCalls = 0;
 };
@@ -273,9 +279,25 @@
       PendingPackets.push_back(p);
     return;
   }
-  Ctx.ApplyDecision(
-      *this, p,
-      RunningProcess->PacketForwarder.decide(p.Header, Ctx.Time.now()));
+  const auto now = Ctx.Time.now();
+  const auto d = RunningProcess->PacketForwarder.decide(p.Header, now);
+  if (d.Reason == EdgeReason::UnknownTag)
+    RunningProcess->Lookup.onUnknownTag(p.Header.Tag, now);
+  Ctx.ApplyDecision(*this, p, d);
+}
+
+auto ModelInstance::askPeer(const Endpoint &at, UpstreamTag tag,
+                            const UpstreamLookup::Answer &done) -> void {
+  Ctx.World.after(2 * MirrorDelay, [this, at, tag, done] {
+    const auto *peer = Ctx.FindPeer(*this, at);
+    const UpstreamLifetime *u = nullptr;
+    if (peer != nullptr)
+      u = peer->RunningProcess->PacketForwarder.upstreamWithFlows(
+          tag, Ctx.Time.now());
+    if (u == nullptr)
+      return done(absl::NotFoundError("no such upstream"));
+    done(u->Record);
+  });
 }
 
 auto ModelInstance::tick() -> void {
--- a/src/edge_model/model_instance.h
+++ b/src/edge_model/model_instance.h
@@ -10,6 +10,7 @@
 #include "edge/cold_start_quota.h"
 #include "edge/edge_views.h"
 #include "edge/forwarder.h"
+#include "edge/upstream_lookup.h"
 #include "edge_model/json_record_format.h"
 #include "edge_model/model_world.h"
 #include "edge_model/time_limited_platform.h"
@@ -109,6 +110,10 @@
             const PlatformClient::Callback<ObjectList> &done) -> void;
   auto readSnapshot(const std::string &prefix,
                     const PlatformClient::Callback<ObjectList> &done) -> void;
+  /// Asks the instance whose mirror has address \p at for the upstream of \p
+  /// tag.
+  auto askPeer(const Endpoint &at, UpstreamTag tag,
+               const UpstreamLookup::Answer &done) -> void;
   /// Counts a cheap call to the store and runs \p answer when the store handles
   /// it, or fails \p done.
   auto callCheaply(PlatformClient::Callback<ObjectList> done,
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -75,6 +75,37 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(UnregisteredUpstreamIsFoundByItsTagAndTakesNoFlows) {
+  const auto r = record("i-2", 2);
+  start({record("i-1", 1)});
+  advance(seconds(10));
+  Directory.addUnregistered(r, now());
+  const auto *u = Directory.find(tagOf(r.Name, r.StartedAt));
+  BOOST_TEST_REQUIRE(u != nullptr);
+  BOOST_TEST(Directory.mayBeRunning(*u, now()));
+  BOOST_TEST(!Directory.mayOpenAsLastResort(*u, now()));
+  Directory.putUpstream(r, now());
+  BOOST_TEST(Directory.mayOpen(*u, now()));
+  // What the store has a record of is not changed.
+  Directory.addUnregistered(r, now());
+  BOOST_TEST(Directory.mayOpen(*u, now()));
+}
+
+BOOST_AUTO_TEST_CASE(UnregisteredEarlierLifetimeEndsNoLaterOne) {
+  const auto earlier = record("i-1", 1);
+  auto later = earlier;
+  later.StartedAt += seconds(9);
+  start({later});
+  Directory.addUnregistered(earlier, now());
+  const auto *u = Directory.find(tagOf(earlier.Name, earlier.StartedAt));
+  BOOST_TEST_REQUIRE(u != nullptr);
+  BOOST_TEST(!Directory.mayBeRunning(*u, now()));
+  const auto *latest = Directory.successor(*u, now());
+  BOOST_TEST_REQUIRE(latest != nullptr);
+  BOOST_TEST((latest->Record == later));
+  BOOST_TEST(Directory.mayOpen(*latest, now()));
+}
+
 // A lifetime that started later, and is gone, must not keep the address.
 BOOST_AUTO_TEST_CASE(AddressReturnsWhenItsHolderIsGone) {
   start({record("i-1", 1)});
--- a/test/edge_model/edge_model_test.cpp
+++ b/test/edge_model/edge_model_test.cpp
@@ -123,6 +123,20 @@
                        seconds(13));
 }
 
+BOOST_AUTO_TEST_CASE(InstancesThatStartWithoutRecordsOfUpstreamsResetNoFlow) {
+  EdgeModel model({.Seed = 12});
+  model.run(TimeBefore);
+  model.setRecordsMissing(0, true);
+  model.run(seconds(3));
+  for (std::size_t i = 0; i < model.instances(); ++i) {
+    model.roll(i);
+    model.run(seconds(3));
+  }
+  model.run(seconds(10));
+  BOOST_TEST(model.rules().count(Rule::Reset) == 0U);
+  BOOST_TEST(model.rules().total() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(SingleInstanceInSingleDataCentreBreaksNoRule) {
   constexpr Duration Length = seconds(6);
   expectNoViolations(
--- a/test/edge_model/json_record_format_test.cpp
+++ b/test/edge_model/json_record_format_test.cpp
@@ -1,3 +1,4 @@
+#include "edge/upstream_record_text.h"
 #include "edge_model/json_record_format.h"
 
 #include <boost/test/unit_test.hpp>
@@ -17,8 +18,8 @@
   r.Slots = 2;
   r.Draining = true;
   r.ColdFor = std::chrono::milliseconds(700);
-  const auto read =
-      JsonRecordFormat().decodeUpstream({"upstreams/u", formatUpstream(r), 1});
+  const auto read = JsonRecordFormat().decodeUpstream(
+      {"upstreams/u", formatUpstreamRecord(r), 1});
   BOOST_TEST_REQUIRE(read.ok());
   BOOST_TEST((*read == r));
 }
