Reset the flows of a crashed upstream whose address is used again once they get no answer

Change: what the flows' own packets say decides here, too.

Test: EdgeForwarder/CrashedUpstreamWhoseAddressIsReusedResetsItsFlows failed before (the packet was forwarded).

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -150,11 +150,10 @@
   return {EdgeAction::Forward, why, u};
 }
 
-/// Whether the record of \p u is missing and its flows get no answer.
+/// Whether \p u is gone by the records and its flows get no answer.
 auto Forwarder::hasEnded(const UpstreamLifetime &u, TimePoint now) const
     -> bool {
-  return Directory.goneReason(u, now) == GoneReason::Missing &&
-         Estimates.isSilent(u, now);
+  return Directory.isGone(u, now) && Estimates.isSilent(u, now);
 }
 
 auto Forwarder::upstreamWithFlows(UpstreamTag tag, TimePoint now) const
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -6,9 +6,10 @@
 /// later packet goes to the upstream that its tag names, whichever instance
 /// receives it, or to the later lifetime of that upstream. A flow is reset at
 /// once if its upstream has ended, if its route was removed, or if no upstream
-/// can take it; its caller can then reconnect without delay. A missing record
-/// alone does not show that an upstream has ended; its flows must get no answer
-/// besides.
+/// can take it; its caller can then reconnect without delay. That its
+/// record is missing, or that another upstream has claimed its address, does
+/// not show that an upstream has ended, unless both are so or its flows get no
+/// answer besides.
 ///
 /// Example:
 /// \code
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -299,6 +299,23 @@
   BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Reset));
 }
 
+BOOST_AUTO_TEST_CASE(CrashedUpstreamWhoseAddressIsReusedResetsItsFlows) {
+  start({record("i-1", 1)});
+  const auto p = data(1, tagOf("i-1", seconds(1000)));
+  PacketForwarder.decide(p, now());
+  auto other = record("i-2", 1);
+  other.StartedAt += seconds(5);
+  Directory.putUpstream(other, now());
+  advance(milliseconds(200));
+  BOOST_TEST((PacketForwarder.decide(p, now()).Action == EdgeAction::Forward));
+  advance(milliseconds(400));
+  BOOST_TEST(
+      (PacketForwarder.decide(p, now()).Reason == EdgeReason::UpstreamGone));
+  // The record of the crashed upstream is still there.
+  BOOST_TEST((Directory.goneReason(*Directory.find(p.Tag), now()) ==
+              GoneReason::AddressTaken));
+}
+
 BOOST_AUTO_TEST_CASE(FlowOpenedBeforeRestartAfterExpiryIsKnownIsNotReset) {
   auto r = record("i-1", 1);
   start({r});
