Lose records of upstreams that serve in soak runs with restores

After each restore the record of one upstream is missing for 4 to 9 s. Real processes so play the flows of an upstream without a record and, beside kills and rolls, the question to other instances.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -333,7 +333,7 @@
         for it in self.upstreams:
             if it.stopped_since:
                 self.store.delete("servers", it.name)
-            elif not it.unresponsive_since:
+            elif it.is_registered and not it.unresponsive_since:
                 it.report("draining" if it.draining_since else "ready")
 
     async def restore_repeatedly(self):
@@ -341,19 +341,34 @@
         while True:
             await asyncio.sleep(self.restores.uniform(6, 14))
             await self.restore_store()
+            self.spawn(self.lose_record())
+
+    async def lose_record(self):
+        """The record of an upstream that goes on serving is missing."""
+        it = self.pick_upstream(self.restores)
+        if it is None:
+            return
+        self.count("lose_record")
+        it.is_registered = False
+        self.store.delete("servers", it.name)
+        await asyncio.sleep(self.restores.uniform(4, 9))
+        it.is_registered = True
+        if not (it.stopped_since or it.unresponsive_since):
+            it.report("draining" if it.draining_since else "ready")
 
     async def change_configuration(self):
         for _ in range(self.random.randint(1, 5)):
             self.put_configuration()
             await asyncio.sleep(0.2)
 
-    def pick_upstream(self):
+    def pick_upstream(self, source=None):
         usable = [it for it in self.upstreams
-                  if not (it.draining_since or it.stopped_since or
-                          it.unresponsive_since)]
+                  if it.is_registered and not (
+                      it.draining_since or it.stopped_since or
+                      it.unresponsive_since)]
         left = collections.Counter((it.service, it.zone) for it in usable)
         spare = [it for it in usable if left[(it.service, it.zone)] > 1]
-        return self.random.choice(spare) if spare else None
+        return (source or self.random).choice(spare) if spare else None
 
     async def replace_upstream(self):
         """Starts a new, cold upstream; the old one drains and stops."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -47,6 +47,7 @@
         self.draining_since = None
         self.unresponsive_since = None
         self.stopped_since = None
+        self.is_registered = True
         self.sequence = 0
 
     async def start(self):
