--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -5,6 +5,7 @@
 #include "edge/edge_views.h"
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
+#include "edge/memory_gauges.h"
 #include "edge/picker.h"
 #include "edge/upstream_lookup.h"
 #include "edge/upstream_record_text.h"
@@ -20,7 +21,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
-#include <malloc.h>
 #include <utility>
 
 namespace boragebridge {
@@ -124,7 +124,6 @@
   auto reset(const FlowPacket &p, EdgeReason why) -> void;
   auto handleRequest(const HttpRequest &r) -> HttpResponse;
   auto renderMetrics() -> std::string;
-  auto setMemoryGauges() -> void;
   auto scheduleTick() -> void;
   auto tick() -> void;
   auto logPauseAndSuspects(TimePoint lastTick) -> void;
@@ -386,30 +385,10 @@
       .set(static_cast<double>(Directory.size()));
   Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
       .set(std::chrono::duration<double>(Views.age(Time.now())).count());
-  setMemoryGauges();
+  setMemoryGauges(Metrics, std::as_const(Views).mirror());
   return Metrics.renderText();
 }
 
-auto EdgeServer::setMemoryGauges() -> void {
-  auto set = [this](const char *name, const char *help, std::size_t n) {
-    Metrics.gauge(name, help).set(static_cast<double>(n));
-  };
-  const auto heap = ::mallinfo2();
-  set("edge_heap_used_bytes", "Heap that is in use",
-      heap.uordblks + heap.hblkhd);
-  set("edge_heap_free_bytes", "Heap that is free, but still of the process",
-      heap.fordblks);
-  const auto mirror = std::as_const(Views).mirror().usage();
-  set("edge_mirror_objects", "Objects in the mirror", mirror.Objects);
-  set("edge_mirror_object_bytes", "Size of the objects in the mirror",
-      mirror.ObjectBytes);
-  set("edge_mirror_removals", "Removals kept for readers of the mirror",
-      mirror.Removals);
-  set("edge_mirror_removal_bytes",
-      "Memory for the removals kept for readers of the mirror",
-      mirror.RemovalBytes);
-}
-
 auto EdgeServer::scheduleTick() -> void {
   Timer.expires_after(TickInterval);
   Timer.async_wait([this](auto ec) {
