Correct comments on upstreams without records

A reader stumbled over them: two said more than holds (an upstream that counts as ended has not certainly ended; one that was looked up may get new flows shortly after a failure of the store).

--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -122,6 +122,7 @@
   auto forwardOpening(const FlowPacket &p, FlowEntry &e, const Pick &pick,
                       EdgeReason why, TimePoint now) -> EdgeDecision;
   auto forwardEstablished(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  /// Whether \p u is gone by the records and its flows get no answer.
   auto hasEnded(const UpstreamLifetime &u, TimePoint now) const -> bool;
   auto waitingSince(const FlowEntry &e, TimePoint now) const -> TimePoint;
   auto observe(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -166,7 +166,7 @@
   if (u == nullptr)
     return;
   u->Ended = !isLatest;
-  // Not when it was looked up, but long before, the record became missing.
+  // Counts as missing for too long from the start.
   u->MissingSince = now - Options.MissingLimit - Duration(1);
   if (isLatest)
     Latest[r.Name] = u->Index;
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -109,8 +109,8 @@
   /// Marks the record \p name as missing from the store.
   auto removeUpstream(const std::string &name, TimePoint now) -> void;
   /// Adds an upstream that the store has no record of and that another instance
-  /// knows, unless it is known here. Flows to it may be open; it gets no new
-  /// ones.
+  /// knows, unless it is known here. Flows to it may be open. Its record counts
+  /// as missing for too long from the start, see mayOpen().
   auto addUnregistered(const UpstreamRecord &r, TimePoint now) -> void;
   /// Returns false, and changes nothing, if \p c is older than the current
   /// version.
@@ -159,10 +159,10 @@
   auto goneReason(const UpstreamLifetime &u, TimePoint now) const -> GoneReason;
   /// Whether flows to \p u may be open. They may be although \p u isGone(): its
   /// record may be missing although it is running, as when the store was
-  /// restored, or another lifetime may have claimed its address. Only if its
-  /// record is missing for too long and its address is taken, or if a later
-  /// lifetime has its name, it has certainly ended. An upstream takes only
-  /// packets that carry its own identity.
+  /// restored, or another lifetime may have claimed its address. It counts as
+  /// ended if both are so, or if a later lifetime has its name. Forwarding to
+  /// an address that was reused is safe, because an upstream ignores packets
+  /// that carry another identity.
   auto mayBeRunning(const UpstreamLifetime &u, TimePoint now) const -> bool {
     return !u.Ended && !(u.Superseded && isMissingTooLong(u, now));
   }
--- a/src/edge/upstream_estimates.h
+++ b/src/edge/upstream_estimates.h
@@ -17,7 +17,7 @@
 ///
 /// Where an upstream is doubtful for another reason, such as a missing record,
 /// less is enough: it is silent if one flow retransmits data that has waited
-/// for long, and no other flow has made progress since the data was sent.
+/// for long, and no flow of it has made progress since the data was sent.
 ///
 /// Handles tens of thousands of openings per second: each call takes constant
 /// time, except clearFailures(), and isUnresponsive() and isSilent() for an
