Let only a lifetime that started later supersede the holder of an address

Callers saw: open flows of a running upstream were reset 2.5 s after the store was restored without its record and with that of an earlier upstream at its address.

Cause: UpstreamDirectory::settleAddress marked every lifetime but the holder as superseded, also where the holder had started earlier and held the address only because the later record was missing. mayBeRunning() takes a superseded lifetime without a record for one that has ended.

Change: a lifetime is superseded only by a holder that started later. Flows of the later one go on until they get no answer.

Evidence: EarlierHolderOfAnAddressEndsNoUpstreamWithoutRecord fails on the code before (goneReason is AddressTaken).

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -210,7 +210,8 @@
   }
   for (const auto i : all->second) {
     auto &u = Entries[i].Lifetime;
-    const auto isSuperseded = holder != nullptr && holder != &u;
+    const auto isSuperseded =
+        holder != nullptr && startOrder(u) < startOrder(*holder);
     if (std::exchange(u.Superseded, isSuperseded) != isSuperseded)
       ByServiceIsStale = true;
   }
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -123,6 +123,21 @@
   BOOST_TEST(Directory.mayOpen(*u, now()));
 }
 
+BOOST_AUTO_TEST_CASE(EarlierHolderOfAnAddressEndsNoUpstreamWithoutRecord) {
+  const auto earlier = record("i-1", 1);
+  auto later = record("i-2", 1);
+  later.StartedAt += seconds(5);
+  start({later});
+  const auto *u = Directory.find(tagOf("i-2", later.StartedAt));
+  Directory.replaceUpstreams({earlier}, now());
+  Time.advance(seconds(4));
+  Directory.expire(now());
+  BOOST_TEST((Directory.goneReason(*u, now()) == GoneReason::Missing));
+  BOOST_TEST(Directory.mayBeRunning(*u, now()));
+  BOOST_TEST(Directory.mayOpen(*Directory.find(tagOf("i-1", earlier.StartedAt)),
+                               now()));
+}
+
 BOOST_AUTO_TEST_CASE(AddressIsFreeAfterItsHolderMoves) {
   auto later = record("i-2", 1);
   later.StartedAt += seconds(5);
