Decode priority and response-time target of routes

Cause: nothing that decides under load can tell urgent routes from others. Change: RouteRecord has both; a value that cannot be read makes its own route the least urgent, or one without target, and affects no other route. UnreadablePriorityAffectsItsOwnRouteAlone checks seven malformed forms.

--- a/src/edge/records.h
+++ b/src/edge/records.h
@@ -41,10 +41,17 @@
 
 /// An address to which callers open flows.
 struct RouteRecord {
+  /// The priority of a route whose record states none.
+  static constexpr unsigned LeastUrgent = 255;
+
   std::string Name;
   Endpoint Address;
   /// At least one service, with weights above 0.
   std::vector<WeightedService> Services;
+  /// 0 is the most urgent; at most LeastUrgent.
+  unsigned Priority = LeastUrgent;
+  /// Callers want an answer within this time; zero: the record states none.
+  Duration ResponseTimeTarget{};
 };
 
 /// The rate of new flows, over all instances, that one cold upstream of a
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -103,6 +103,32 @@
   BOOST_TEST((r->IdleTimeout == std::chrono::seconds(15)));
 }
 
+BOOST_AUTO_TEST_CASE(UnreadablePriorityAffectsItsOwnRouteAlone) {
+  constexpr auto NotStated = RouteRecord::LeastUrgent;
+  const auto decode = [](const std::string &fields) {
+    return RecordCodec().decodeConfiguration(
+        {"config/main",
+         R"({"version":7,"services":[],"routes":[
+             {"name":"a","host":"198.18.0.1","pathPrefix":"/1/","service":"s",
+              "priority":1,"latencyTargetMs":800},
+             {"name":"b","host":"198.18.0.1","pathPrefix":"/2/","service":"s")" +
+             fields + "}]}",
+         1});
+  };
+  for (const auto *it :
+       {"", R"(,"priority":-1)", R"(,"priority":"high")", R"(,"priority":1.5)",
+        R"(,"priority":null,"latencyTargetMs":"soon")",
+        R"(,"priority":1e30,"latencyTargetMs":-5)"}) {
+    const auto r = decode(it);
+    BOOST_TEST_REQUIRE(r.ok(), it);
+    BOOST_TEST(r->Routes.at(0).Priority == 1U);
+    BOOST_TEST(
+        (r->Routes.at(0).ResponseTimeTarget == std::chrono::milliseconds(800)));
+    BOOST_TEST(r->Routes.at(1).Priority == NotStated, it);
+    BOOST_TEST((r->Routes.at(1).ResponseTimeTarget == Duration::zero()), it);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OtherObjectsUnderTheConfigurationPrefixAreIgnored) {
   const auto r = RecordCodec().decodeConfiguration({"config/else", "{}", 1});
   BOOST_TEST(absl::IsNotFound(r.status()));
