--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -419,6 +419,7 @@
 auto UpstreamDirectory::rebuild() -> void {
   if (!std::exchange(ByServiceIsStale, false))
     return;
+  ++ServiceRevision;
   ByService.clear();
   for (const auto &it : Entries)
     if (it.Used && !it.Lifetime.Ended && !it.Lifetime.Superseded)
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -150,6 +150,8 @@
   /// The upstreams of \p service that are registered or not yet gone.
   auto upstreamsOf(ServiceId service) const
       -> const std::vector<const UpstreamLifetime *> &;
+  /// Changes whenever the result of upstreamsOf() changes.
+  auto serviceRevision() const -> std::uint64_t { return ServiceRevision; }
   auto coldPerSecond(ServiceId service) const -> double;
 
   /// Whether, by the records, \p u is gone. It gets no new flows.
@@ -237,6 +239,7 @@
   std::unordered_map<std::uint64_t, std::vector<const UpstreamLifetime *>>
       ByService;
   bool ByServiceIsStale = false;
+  std::uint64_t ServiceRevision = 0;
   std::unordered_map<Endpoint, std::size_t> Routes;
   std::unordered_set<Endpoint> RemovedRoutes;
   /// Addresses of removed routes, the oldest removal first. Some may have been
