Place new flows by learned limits and priority under pressure

Change: Forwarder reports requests and answers to LoadControl. Under pressure LoadAwarePolicy chooses among this instance's subset of upstreams by expected response time, keeps some upstreams for urgent routes, turns the least urgent openings away when no upstream has room, and sends flows to another data centre that answers sooner. The edge model runs the same parts.

--- a/src/edge/edge_adapter.h
+++ b/src/edge/edge_adapter.h
@@ -40,6 +40,9 @@
   /// Writes a reset of the flow of \p p to \p buf. Returns the bytes written.
   virtual auto makeReset(const FlowPacket &p, ResetBuffer &buf) const
       -> std::span<std::byte> = 0;
+  /// The longest answer, in bytes, that an upstream refuses a request with;
+  /// every other answer is longer.
+  virtual auto maxRefusalBytes() const -> std::uint32_t = 0;
   /// The address that packets for \p caller are sent to.
   virtual auto callerAddress(const Endpoint &caller) const -> Endpoint = 0;
 };
--- a/src/edge/edge_events.h
+++ b/src/edge/edge_events.h
@@ -37,6 +37,8 @@
                                           "upstreams_listed"};
 inline constexpr LogEvent UpstreamLookedUp{2318, Severity::Info,
                                            "upstream_looked_up"};
+inline constexpr LogEvent PressureChanged{2319, Severity::Warning,
+                                          "pressure_changed"};
 inline constexpr LogEvent ParentLost{2313, Severity::Warning, "parent_lost"};
 
 } // namespace boragebridge::events
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -5,6 +5,7 @@
 #include "edge/edge_views.h"
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
+#include "edge/load/load_aware_policy.h"
 #include "edge/memory_gauges.h"
 #include "edge/picker.h"
 #include "edge/upstream_lookup.h"
@@ -20,6 +21,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -51,6 +53,10 @@
 /// address of the mirror.
 constexpr auto SeedPath = "/v1/seed";
 
+auto inPercent(double share) -> std::string {
+  return std::to_string(std::lround(share * 100));
+}
+
 auto textResponse(HttpStatus status, std::string text) -> HttpResponse {
   return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
 }
@@ -73,9 +79,13 @@
             },
             {.Probe = [this](auto done) { probeStore(std::move(done)); }}),
         Quota(s.InstanceName, {.Factor = s.ColdFactor, .Slack = s.ColdSlack}),
-        Policy(Directory, Estimates, Quota, Random,
-               {.LocalDataCentre = s.DataCentre}),
-        PacketForwarder(Directory, Estimates, Policy),
+        BasePolicy(Directory, Estimates, Quota, Random,
+                   {.LocalDataCentre = s.DataCentre}),
+        Subsets(Directory, s.InstanceName, s.DataCentre),
+        Policy(BasePolicy, Load, Subsets, Random, {.Parts = s.Load}),
+        PacketForwarder(Directory, Estimates, Policy,
+                        {.MaxRefusalBytes = a.Packets->maxRefusalBytes()},
+                        s.Load.Limits ? &Load : nullptr),
         Flows(Log, Directory, Estimates),
         Views(Time, Random, Log, Platform, *a.Records, Directory, Quota,
               {.Self = {s.InstanceName, s.DataCentre, s.Mirror, s.Capacity},
@@ -91,7 +101,9 @@
                      Store.listSnapshot(Adapter.Records->memberPrefix(),
                                         std::move(done));
                    },
-               .Discovery = {.IsNewFleet = s.IsNewFleet}}),
+               .Discovery = {.IsNewFleet = s.IsNewFleet},
+               .OnMembers =
+                   [this](const auto &all) { Subsets.setMembers(all); }}),
         Lookup(
             Time, Log, Directory, [this] { return Views.peers(); },
             [this](const auto &peer, auto tag, const auto &done) {
@@ -127,6 +139,7 @@
   auto scheduleTick() -> void;
   auto tick() -> void;
   auto logPauseAndSuspects(TimePoint lastTick) -> void;
+  auto logPressure() -> void;
   auto reload() -> void;
   auto awaitSignal() -> void;
   auto beginStop() -> void;
@@ -143,7 +156,10 @@
   UpstreamDirectory Directory;
   UpstreamEstimates Estimates;
   ColdStartQuota Quota;
-  Picker Policy;
+  Picker BasePolicy;
+  LoadControl Load;
+  UpstreamSubsets Subsets;
+  LoadAwarePolicy Policy;
   Forwarder PacketForwarder;
   FlowLog Flows;
   EdgeViews Views;
@@ -403,12 +419,14 @@
   Now = Time.now();
   PacketForwarder.tick(Now);
   logPauseAndSuspects(std::exchange(LastTick, Now));
+  logPressure();
   Views.tick(Now);
   advertiseMirror();
   if (Now >= NextReload)
     reload();
   if (Now - LastExpire >= ExpireInterval) {
     Directory.expire(Now);
+    Load.tick(Now);
     LastExpire = Now;
   }
   if (!WasReady && Views.isComplete()) {
@@ -438,6 +456,18 @@
            {"expected_ms", inMilliseconds(Estimates.expectedTime(*u, Now))}});
 }
 
+auto EdgeServer::logPressure() -> void {
+  for (const auto it : Load.takeChanges()) {
+    const auto least = Load.leastUrgentPriority(it, Now);
+    Log.write(
+        events::PressureChanged,
+        {{"service", std::to_string(raw(it))},
+         {"pressure", Load.isUnderPressure(it) ? "on" : "off"},
+         {"failed_percent", inPercent(Load.failedShare(it))},
+         {"reserved_percent", inPercent(Load.reservedShare(it, least, Now))}});
+  }
+}
+
 auto EdgeServer::reload() -> void {
   NextReload = Now + ReloadInterval;
   auto s = ReadSettings();
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -6,6 +6,7 @@
 #define BORAGEBRIDGE_EDGE_EDGE_SERVER_H
 
 #include "edge/edge_adapter.h"
+#include "edge/load/load_parts.h"
 #include "store/store_dialect.h"
 
 #include "absl/status/statusor.h"
@@ -41,6 +42,8 @@
   /// Time from the stop signal to the end of the process; flows continue
   /// meanwhile.
   Duration StopDelay = std::chrono::milliseconds(2200);
+  /// What decides under load. A change takes effect at the next start.
+  LoadParts Load;
 
   auto operator==(const EdgeSettings &) const -> bool = default;
 };
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -58,6 +58,8 @@
   /// its parent. Empty: it reads them from the store.
   ParentDiscovery::ReadMembers MemberSnapshot = {};
   ParentDiscoveryOptions Discovery = {};
+  /// Called with all members whenever the list of them was read. May be empty.
+  std::function<void(const std::vector<MemberRecord> &)> OnMembers = {};
   /// After the lists of one mirror were requested, advertisements of others are
   /// ignored for this long, because each mirror's lists may be long.
   Duration AdoptionInterval = std::chrono::milliseconds(700);
--- a/src/edge/edge_views_members.cpp
+++ b/src/edge/edge_views_members.cpp
@@ -95,6 +95,8 @@
   Quota.confirmMembers(Time.now());
   Tree.setMembers(records);
   Expiry.setMembers(records);
+  if (Options.OnMembers)
+    Options.OnMembers(records);
 }
 
 auto EdgeViews::checkMember(TimePoint now) -> void {
--- a/src/edge/flow_cache.h
+++ b/src/edge/flow_cache.h
@@ -31,7 +31,11 @@
   /// Sequence number after the last byte sent.
   std::uint32_t NextSequence = 0;
   std::uint32_t Acknowledged = 0;
+  /// When the request in progress was sent, if AwaitsAnswer.
+  TimePoint RequestAt;
   bool Used = false;
+  /// A request was sent, and no byte of its answer was acknowledged yet.
+  bool AwaitsAnswer = false;
   /// The upstream has answered the opening packet.
   bool Open = false;
   /// The opening packet was not answered in time.
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -14,15 +14,15 @@
       Names{"opened",        "opened_again", "pinned",      "tagged",
             "restarted",     "no_route",     "no_upstream", "upstream_gone",
             "upstream_dark", "unknown_tag",  "no_tag",      "not_ready",
-            "stale"};
+            "stale",         "overloaded"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
 Forwarder::Forwarder(const UpstreamDirectory &directory,
                      UpstreamEstimates &estimates, PlacementPolicy &policy,
-                     ForwarderOptions opt)
+                     ForwarderOptions opt, LoadControl *load)
     : Directory(directory), Estimates(estimates), Policy(policy), Options(opt),
-      Flows(opt.CachedFlows), PendingOpenings(MaxPendingOpenings) {}
+      Load(load), Flows(opt.CachedFlows), PendingOpenings(MaxPendingOpenings) {}
 
 auto Forwarder::decide(const FlowPacket &p, TimePoint now) -> EdgeDecision {
   AnswerTime = {};
@@ -46,7 +46,8 @@
   // an instance with a newer configuration. Its tag is enough to forward it.
   if (route == nullptr && (p.Opens || Directory.isRemovedRoute(p.Flow.Service)))
     return {EdgeAction::Reset, EdgeReason::NoRoute};
-  return p.Opens ? forwardNewFlow(p, *route, now) : forwardEstablished(p, now);
+  return p.Opens ? forwardNewFlow(p, *route, now)
+                 : forwardEstablished(p, route, now);
 }
 
 auto Forwarder::upstreamOf(const FlowEntry &e) const
@@ -60,11 +61,14 @@
   auto *entry = Flows.find(p.Flow);
   if (entry != nullptr && entry->FirstSequence == p.Sequence)
     return forwardRetransmission(p, route, *entry, now);
-  const auto pick = Policy.pick(route, nullptr, now);
+  const auto pick = Policy.pick(
+      {.Route = route, .IsRetransmission = p.Acknowledged > 0}, now);
   if (pick.Upstream == nullptr)
-    return {EdgeAction::Reset, EdgeReason::NoUpstream};
-  return forwardOpening(p, Flows.insert(p.Flow, now), pick, EdgeReason::Opened,
-                        now);
+    return {EdgeAction::Reset, pick.Reason == PickReason::Full
+                                   ? EdgeReason::Overloaded
+                                   : EdgeReason::NoUpstream};
+  return forwardOpening(p, route, Flows.insert(p.Flow, now), pick,
+                        EdgeReason::Opened, now);
 }
 
 /// Forwards a retransmitted opening packet. It goes to the same upstream, which
@@ -83,15 +87,16 @@
     Policy.onRetransmitted(*first, now);
     return {EdgeAction::Forward, EdgeReason::OpenedAgain, first};
   }
-  const auto pick = Policy.pick(route, first, now);
+  const auto pick = Policy.pick(
+      {.Route = route, .Except = first, .IsRetransmission = true}, now);
   if (pick.Upstream == nullptr)
     return {EdgeAction::Reset, EdgeReason::NoUpstream};
-  return forwardOpening(p, e, pick, EdgeReason::OpenedAgain, now);
+  return forwardOpening(p, route, e, pick, EdgeReason::OpenedAgain, now);
 }
 
-auto Forwarder::forwardOpening(const FlowPacket &p, FlowEntry &e,
-                               const Pick &pick, EdgeReason why, TimePoint now)
-    -> EdgeDecision {
+auto Forwarder::forwardOpening(const FlowPacket &p, const RouteRecord &route,
+                               FlowEntry &e, const Pick &pick, EdgeReason why,
+                               TimePoint now) -> EdgeDecision {
   e.Tag = pick.Upstream->Tag;
   e.Index = pick.Upstream->Index;
   e.OpenedAt = now;
@@ -100,6 +105,8 @@
   e.NextSequence = p.Sequence + 1;
   e.Unanswered = false;
   awaitAnswer(e, now);
+  // The request follows at once; until then it takes room as well.
+  beginRequest(route, e, *pick.Upstream, now);
   return {EdgeAction::Forward, why, pick.Upstream, pick.Reason};
 }
 
@@ -113,7 +120,8 @@
   ++PendingCount;
 }
 
-auto Forwarder::forwardEstablished(const FlowPacket &p, TimePoint now)
+auto Forwarder::forwardEstablished(const FlowPacket &p,
+                                   const RouteRecord *route, TimePoint now)
     -> EdgeDecision {
   auto *e = Flows.find(p.Flow);
   const UpstreamLifetime *u = nullptr;
@@ -142,7 +150,7 @@
   }
   if (e == nullptr)
     e = &Flows.insert(p.Flow, now);
-  observe(p, *e, *u, now);
+  observe(p, route, *e, *u, now);
   if (hasEnded(*u, now))
     return {EdgeAction::Reset, EdgeReason::UpstreamGone};
   if (Estimates.isUnresponsive(*u, now))
@@ -171,15 +179,46 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
-auto Forwarder::observe(const FlowPacket &p, FlowEntry &e,
-                        const UpstreamLifetime &u, TimePoint now) -> void {
+auto Forwarder::beginRequest(const RouteRecord &route, FlowEntry &e,
+                             const UpstreamLifetime &u, TimePoint now) -> void {
+  if (Load == nullptr)
+    return;
+  e.AwaitsAnswer = true;
+  e.RequestAt = now;
+  Load->onSent(route, u, now);
+}
+
+auto Forwarder::observeAnswer(const FlowPacket &p, std::uint32_t bytes,
+                              const RouteRecord *route, FlowEntry &e,
+                              const UpstreamLifetime &u, TimePoint now)
+    -> bool {
+  if (!std::exchange(e.AwaitsAnswer, false) || route == nullptr)
+    return false;
+  const auto isRefused = bytes <= Options.MaxRefusalBytes;
+  if (isRefused)
+    Load->onRefused(u, e.RequestAt, now);
+  // The acknowledgement of a short answer may come with the next request only,
+  // and does not show the response time then.
+  else if (p.Length > 0)
+    Load->onEnded(u, e.RequestAt, now);
+  else
+    Load->onAnswered(*route, u, e.RequestAt, now);
+  return isRefused;
+}
+
+auto Forwarder::observe(const FlowPacket &p, const RouteRecord *route,
+                        FlowEntry &e, const UpstreamLifetime &u, TimePoint now)
+    -> void {
   e.SeenAt = now;
   if (!e.Open || e.Tag != u.Tag) {
     pin(p, e, u, now);
   } else if (isAfter(p.Acknowledged, e.Acknowledged)) {
+    const auto bytes = p.Acknowledged - e.Acknowledged;
+    const auto isRefused = observeAnswer(p, bytes, route, e, u, now);
     e.Acknowledged = p.Acknowledged;
     Estimates.onProgress(u, now);
-    if (p.Finishes)
+    // A refusal takes less time than a response.
+    if (p.Finishes && !isRefused)
       Estimates.onResponse(u, now - e.SentAt);
   } else if (p.Length > 0 &&
              now - e.SentAt >= Options.MinRetransmissionInterval &&
@@ -194,6 +233,8 @@
       Estimates.onRequestSent(u, now);
     e.NextSequence = p.Sequence + p.Length;
     e.SentAt = now;
+    if (!e.AwaitsAnswer && route != nullptr)
+      beginRequest(*route, e, u, now);
   }
 }
 
@@ -211,6 +252,7 @@
 auto Forwarder::pin(const FlowPacket &p, FlowEntry &e,
                     const UpstreamLifetime &u, TimePoint now) -> void {
   const auto sawOpening = e.FirstSequence != 0;
+  e.AwaitsAnswer = e.AwaitsAnswer && e.Tag == u.Tag;
   if (sawOpening && e.Tag == u.Tag && !e.Unanswered)
     AnswerTime = now - e.OpenedAt;
   e.Open = true;
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -23,6 +23,7 @@
 
 #include "edge/flow_cache.h"
 #include "edge/flow_packet.h"
+#include "edge/load/load_control.h"
 #include "edge/placement_policy.h"
 #include "edge/unknown_tags.h"
 #include "edge/upstream_estimates.h"
@@ -51,6 +52,8 @@
   NoTag,
   NotReady,
   Stale,
+  /// The upstreams of the service are full.
+  Overloaded,
   Count,
 };
 
@@ -81,13 +84,18 @@
   /// dropped: their callers have retransmitted them through other instances,
   /// and a second answer could move a flow to another upstream.
   Duration StaleOpeningThreshold = std::chrono::milliseconds(1000);
+  /// An answer of at most this many bytes refuses the request; 0: refusals are
+  /// not recognised.
+  std::uint32_t MaxRefusalBytes = 0;
 };
 
 class Forwarder {
 public:
-  /// All references must outlive the forwarder.
+  /// All references must outlive the forwarder. Requests and answers are
+  /// reported to \p load; null: to none.
   Forwarder(const UpstreamDirectory &directory, UpstreamEstimates &estimates,
-            PlacementPolicy &policy, ForwarderOptions opt = {});
+            PlacementPolicy &policy, ForwarderOptions opt = {},
+            LoadControl *load = nullptr);
 
   auto decide(const FlowPacket &p, TimePoint now) -> EdgeDecision;
   /// Records failures for openings that were not answered in time. Call every
@@ -119,14 +127,25 @@
                       TimePoint now) -> EdgeDecision;
   auto forwardRetransmission(const FlowPacket &p, const RouteRecord &route,
                              FlowEntry &e, TimePoint now) -> EdgeDecision;
-  auto forwardOpening(const FlowPacket &p, FlowEntry &e, const Pick &pick,
-                      EdgeReason why, TimePoint now) -> EdgeDecision;
-  auto forwardEstablished(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  auto forwardOpening(const FlowPacket &p, const RouteRecord &route,
+                      FlowEntry &e, const Pick &pick, EdgeReason why,
+                      TimePoint now) -> EdgeDecision;
+  /// \p route is null if it is unknown.
+  auto forwardEstablished(const FlowPacket &p, const RouteRecord *route,
+                          TimePoint now) -> EdgeDecision;
   /// Whether \p u is gone by the records and its flows get no answer.
   auto hasEnded(const UpstreamLifetime &u, TimePoint now) const -> bool;
   auto waitingSince(const FlowEntry &e, TimePoint now) const -> TimePoint;
-  auto observe(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
-               TimePoint now) -> void;
+  auto observe(const FlowPacket &p, const RouteRecord *route, FlowEntry &e,
+               const UpstreamLifetime &u, TimePoint now) -> void;
+  /// Packet \p p acknowledges \p bytes more of what \p u sent. Returns whether
+  /// these refuse the request.
+  auto observeAnswer(const FlowPacket &p, std::uint32_t bytes,
+                     const RouteRecord *route, FlowEntry &e,
+                     const UpstreamLifetime &u, TimePoint now) -> bool;
+  /// A request of the flow was sent to \p u.
+  auto beginRequest(const RouteRecord &route, FlowEntry &e,
+                    const UpstreamLifetime &u, TimePoint now) -> void;
   auto pin(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
            TimePoint now) -> void;
   auto checkAnswered(const PendingOpening &o, TimePoint now) -> void;
@@ -137,6 +156,7 @@
   UpstreamEstimates &Estimates;
   PlacementPolicy &Policy;
   ForwarderOptions Options;
+  LoadControl *Load;
   FlowCache Flows;
   UnknownTags Unknown;
   std::array<std::uint64_t, static_cast<std::size_t>(EdgeReason::Count)>
--- /dev/null
+++ b/src/edge/load/load_aware_policy.h
@@ -0,0 +1,86 @@
+/// \file
+/// Places new flows while a service is under pressure. Without pressure, all
+/// choices are those of Picker.
+///
+/// Answers two kinds of load:
+///  - More requests than the upstreams can handle. The least urgent routes are
+///    turned away first, at once and before anything has run, when none of the
+///    upstreams that they may use has room. Some upstreams are kept for more
+///    urgent routes, because requests on flows that are open already cannot be
+///    turned away one by one. Urgent routes are never turned away while less
+///    urgent ones are served.
+///  - Upstreams that are slow or full while others are not, in this data centre
+///    or in another. A flow goes to the upstream with the shortest expected
+///    response time; another data centre has to be faster by RemotePenalty.
+///
+/// Uses no messages and no state of other instances. Free of I/O; not
+/// thread-safe.
+#ifndef BORAGEBRIDGE_EDGE_LOAD_LOAD_AWARE_POLICY_H
+#define BORAGEBRIDGE_EDGE_LOAD_LOAD_AWARE_POLICY_H
+
+#include "edge/load/load_control.h"
+#include "edge/load/load_parts.h"
+#include "edge/load/upstream_subsets.h"
+#include "edge/picker.h"
+
+namespace boragebridge {
+
+struct LoadAwarePolicyOptions {
+  LoadParts Parts;
+  /// As in PickerOptions.
+  Duration RemotePenalty = std::chrono::milliseconds(60);
+  double CostJitter = 0.25;
+};
+
+class LoadAwarePolicy final : public PlacementPolicy {
+public:
+  /// All references must outlive the policy.
+  LoadAwarePolicy(Picker &base, LoadControl &load, UpstreamSubsets &subsets,
+                  RandomSource &random, LoadAwarePolicyOptions opt)
+      : Base(base), Load(load), Subsets(subsets), Random(random), Options(opt) {
+  }
+
+  /// Returns PickReason::Full, and no upstream, for a flow that is turned away.
+  auto pick(const Opening &o, TimePoint now) -> Pick override;
+  auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
+      -> void override {
+    Base.onRetransmitted(u, now);
+  }
+
+  auto parts() const -> const LoadParts & { return Options.Parts; }
+
+private:
+  /// An upstream that a flow may go to.
+  struct Candidate {
+    const UpstreamLifetime *Upstream = nullptr;
+    /// Expected response time, with penalty and jitter.
+    double Cost = 0;
+  };
+  /// The best upstreams found so far.
+  struct Choice {
+    Candidate Local;
+    Candidate LocalWithRoom;
+    Candidate Remote;
+    Candidate RemoteWithRoom;
+  };
+
+  auto isUnderPressure(const RouteRecord &route) const -> bool;
+  auto choose(const RouteRecord &route, ServiceId service, TimePoint now)
+      -> Choice;
+  auto consider(const SubsetUpstream &it, ServiceId service, TimePoint now,
+                Choice &out) -> void;
+  auto cost(const SubsetUpstream &it, TimePoint now) -> double;
+  /// The upstream that the flow goes to; null to turn it away.
+  auto decide(const Choice &c, bool mayTurnAway) const
+      -> const UpstreamLifetime *;
+
+  Picker &Base;
+  LoadControl &Load;
+  UpstreamSubsets &Subsets;
+  RandomSource &Random;
+  LoadAwarePolicyOptions Options;
+};
+
+} // namespace boragebridge
+
+#endif
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -7,8 +7,9 @@
     : Directory(directory), Estimates(estimates), Quota(quota), Random(random),
       Options(opt) {}
 
-auto Picker::pick(const RouteRecord &route, const UpstreamLifetime *except,
-                  TimePoint now) -> Pick {
+auto Picker::pick(const Opening &o, TimePoint now) -> Pick {
+  const auto &route = o.Route;
+  const auto *except = o.Except;
   const auto first = chooseService(route, Random);
   const auto n = route.Services.size();
   Pick best;
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -41,20 +41,21 @@
 
   /// Records the choice as load, as a trial of a suspected upstream, or against
   /// the cold-start quota.
-  auto pick(const RouteRecord &route, const UpstreamLifetime *except,
-            TimePoint now) -> Pick override;
+  auto pick(const Opening &o, TimePoint now) -> Pick override;
   /// The retransmission may be the only copy that arrives, so it counts against
   /// the cold-start quota as well.
   auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
       -> void override;
+  /// How good a choice \p u of \p service is; None if it must not be chosen.
+  auto classify(const UpstreamLifetime &u, ServiceId service,
+                TimePoint now) const -> PickReason;
+  /// Accounts for \p p as if pick() had returned it.
+  auto recordChoice(const Pick &p, TimePoint now) -> void;
 
 private:
   auto pickOf(ServiceId service, const UpstreamLifetime *except, TimePoint now)
       -> Pick;
-  auto classify(const UpstreamLifetime &u, ServiceId service,
-                TimePoint now) const -> PickReason;
   auto cost(const UpstreamLifetime &u, TimePoint now) -> double;
-  auto recordChoice(const Pick &p, TimePoint now) -> void;
 
   const UpstreamDirectory &Directory;
   UpstreamEstimates &Estimates;
--- a/src/edge/placement_policy.cpp
+++ b/src/edge/placement_policy.cpp
@@ -14,6 +14,8 @@
     return "missing";
   case PickReason::None:
     return "none";
+  case PickReason::Full:
+    return "full";
   }
   return "unknown";
 }
--- a/src/edge/placement_policy.h
+++ b/src/edge/placement_policy.h
@@ -9,8 +9,17 @@
 
 namespace boragebridge {
 
-/// Why an upstream was chosen, in order of preference.
-enum class PickReason : std::uint8_t { Best, Cold, Avoided, Missing, None };
+/// Why an upstream was chosen, in order of preference, or why none was.
+enum class PickReason : std::uint8_t {
+  Best,
+  Cold,
+  Avoided,
+  Missing,
+  /// No upstream can take the flow.
+  None,
+  /// The upstreams are full, and the flow was turned away.
+  Full,
+};
 
 auto toString(PickReason r) -> std::string_view;
 
@@ -20,6 +29,16 @@
   PickReason Reason = PickReason::None;
 };
 
+/// A new flow that needs an upstream.
+struct Opening {
+  const RouteRecord &Route;
+  /// The upstream that the flow was sent to before, which did not answer; null
+  /// if there is none.
+  const UpstreamLifetime *Except = nullptr;
+  /// The packet was sent before, so the flow may be open already.
+  bool IsRetransmission = false;
+};
+
 /// Index of one of the services of \p route, drawn at random by weight.
 auto chooseService(const RouteRecord &route, RandomSource &random)
     -> std::size_t;
@@ -32,11 +51,9 @@
   auto operator=(const PlacementPolicy &) -> PlacementPolicy & = delete;
   virtual ~PlacementPolicy() = default;
 
-  /// Chooses an upstream for a new flow of \p route. Returns \p except only if
-  /// there is no other. The policy accounts for the choice as if the flow had
-  /// been sent.
-  virtual auto pick(const RouteRecord &route, const UpstreamLifetime *except,
-                    TimePoint now) -> Pick = 0;
+  /// Chooses an upstream for \p o. Returns o.Except only if there is no other.
+  /// The policy accounts for the choice as if the flow had been sent.
+  virtual auto pick(const Opening &o, TimePoint now) -> Pick = 0;
   /// A retransmitted opening packet goes to \p u, which was chosen before.
   virtual auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
       -> void = 0;
--- a/src/edge_model/baseline_placement.cpp
+++ b/src/edge_model/baseline_placement.cpp
@@ -18,13 +18,12 @@
   BaselinePolicy(const PlacementContext &ctx, ChooseFunction f)
       : Ctx(ctx), Function(f) {}
 
-  auto pick(const RouteRecord &route, const UpstreamLifetime *except,
-            TimePoint now) -> Pick override {
+  auto pick(const Opening &o, TimePoint now) -> Pick override {
     const auto service =
-        route.Services[chooseService(route, Ctx.Random)].Service;
+        o.Route.Services[chooseService(o.Route, Ctx.Random)].Service;
     Candidates all;
     for (const auto *it : Ctx.Directory.upstreamsOf(service))
-      if (it != except && Ctx.Directory.mayOpen(*it, now))
+      if (it != o.Except && Ctx.Directory.mayOpen(*it, now))
         all.push_back(it);
     if (all.empty())
       return {};
--- a/src/edge_model/model_caller.cpp
+++ b/src/edge_model/model_caller.cpp
@@ -180,7 +180,7 @@
   const auto isLong = f.Long;
   ++f.Step;
   f.NextSequence += RequestBytes;
-  f.Acknowledged += AnswerBytes;
+  f.Acknowledged += r.Kind == ReplyKind::Refused ? RefusalBytes : AnswerBytes;
   const auto staysOpen = isLong && !r.Closes;
   sendAcknowledgement(f, !staysOpen);
   if (staysOpen)
--- a/src/edge_model/model_instance.cpp
+++ b/src/edge_model/model_instance.cpp
@@ -1,6 +1,6 @@
 #include "edge_model/model_instance.h"
 
-#include "edge/picker.h"
+#include "edge/load/load_aware_policy.h"
 #include "edge_model/baseline_placement.h"
 
 #include <utility>
@@ -111,11 +111,15 @@
                               });
                  }}),
         Quota(owner.Self.Name, owner.Ctx.Options.ColdStart),
+        BasePolicy(Directory, Estimates, Quota, Random,
+                   {.LocalDataCentre = owner.Self.DataCentre}),
+        Subsets(Directory, owner.Self.Name, owner.Self.DataCentre),
         Policy(makeBaseline(owner.Ctx.Options.PlacementPolicy,
                             {Directory, Estimates, Random})),
-        PacketForwarder(Directory, Estimates,
-                        choosePolicy(owner.Self.DataCentre),
-                        {.CachedFlows = owner.Ctx.Options.CachedFlows}),
+        PacketForwarder(Directory, Estimates, choosePolicy(),
+                        {.CachedFlows = owner.Ctx.Options.CachedFlows,
+                         .MaxRefusalBytes = RefusalBytes},
+                        &Load),
         Views(owner.Ctx.Time, Random, Log, Platform, Format, Directory, Quota,
               {.Self = owner.Self,
                .Seeds = owner.Seeds,
@@ -125,19 +129,21 @@
                    [this, &owner](auto done) {
                      owner.readSnapshot(Format.memberPrefix(), done);
                    },
-               .Discovery = {.IsNewFleet = owner.StartCount == 1}}),
+               .Discovery = {.IsNewFleet = owner.StartCount == 1},
+               .OnMembers =
+                   [this](const auto &all) { Subsets.setMembers(all); }}),
         Lookup(
             owner.Ctx.Time, Log, Directory, [this] { return Views.peers(); },
             [&owner](const auto &at, auto tag, const auto &done) {
               owner.askPeer(at, tag, done);
             }) {}
 
-  /// Returns the configured baseline policy, or a Picker if none is configured.
-  auto choosePolicy(DataCentreId localDataCentre) -> PlacementPolicy & {
+  /// Returns the configured baseline policy, or that of the product if none is
+  /// configured.
+  auto choosePolicy() -> PlacementPolicy & {
     if (Policy == nullptr)
-      Policy = std::make_unique<Picker>(
-          Directory, Estimates, Quota, Random,
-          PickerOptions{.LocalDataCentre = localDataCentre});
+      Policy = std::make_unique<LoadAwarePolicy>(
+          BasePolicy, Load, Subsets, Random, LoadAwarePolicyOptions{});
     return *Policy;
   }
 
@@ -149,6 +155,9 @@
   UpstreamDirectory Directory;
   UpstreamEstimates Estimates;
   ColdStartQuota Quota;
+  Picker BasePolicy;
+  LoadControl Load;
+  UpstreamSubsets Subsets;
   std::unique_ptr<PlacementPolicy> Policy;
   Forwarder PacketForwarder;
   EdgeViews Views;
@@ -313,6 +322,7 @@
     return;
   RunningProcess->LastExpire = now;
   RunningProcess->Directory.expire(now);
+  RunningProcess->Load.tick(now);
 }
 
 auto ModelInstance::isReady() const -> bool {
--- a/src/edge_model/model_world.h
+++ b/src/edge_model/model_world.h
@@ -13,6 +13,9 @@
 
 namespace boragebridge::edge_model {
 
+/// Size of the answer that refuses a request; every other answer is longer.
+inline constexpr std::uint32_t RefusalBytes = 150;
+
 class ModelUpstream;
 
 /// One request of a caller with all its attempts.
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -423,6 +423,79 @@
   }
 }
 
+namespace {
+
+/// A forwarder that reports requests and recognises refusals.
+struct LoadFixture : EdgeFixture {
+  static constexpr std::uint32_t RefusalBytes = 200;
+
+  LoadFixture() { start({record("i-1", 1)}); }
+  auto acknowledgement(std::uint16_t port, std::uint32_t requests,
+                       std::uint32_t acknowledged) const -> FlowPacket {
+    auto p =
+        data(port, tagOf("i-1", seconds(1000)), 100 * requests, acknowledged);
+    p.Length = 0;
+    return p;
+  }
+  auto request(std::uint16_t port, std::uint32_t n, std::uint32_t acknowledged)
+      -> void {
+    LoadForwarder.decide(
+        data(port, tagOf("i-1", seconds(1000)), 100 * n, acknowledged), now());
+  }
+  auto inProgress() const -> double {
+    return Load.limits().inProgress(
+        *Directory.find(tagOf("i-1", seconds(1000))), now());
+  }
+
+  LoadControl Load;
+  Forwarder LoadForwarder{
+      Directory, Estimates, Policy, {.MaxRefusalBytes = RefusalBytes}, &Load};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(CountsEachRequestOfAFlow, LoadFixture) {
+  LoadForwarder.decide(opening(1), now());
+  request(1, 0, 500);
+  BOOST_TEST(inProgress() == 1);
+  Time.advance(milliseconds(30));
+  LoadForwarder.decide(acknowledgement(1, 1, 1500), now());
+  LoadForwarder.decide(acknowledgement(1, 1, 2500), now());
+  BOOST_TEST(inProgress() < 0.01);
+  request(1, 1, 2500);
+  BOOST_TEST(inProgress() > 0.9);
+  LoadForwarder.decide(acknowledgement(1, 2, 2500 + RefusalBytes), now());
+  BOOST_TEST(Load.counts().Answered == 1U);
+  BOOST_TEST(Load.counts().Refused == 1U);
+  BOOST_TEST(inProgress() < 0.01);
+}
+
+// The caller acknowledges a short answer with its next request only.
+BOOST_FIXTURE_TEST_CASE(LateAcknowledgementShowsNoResponseTime, LoadFixture) {
+  LoadForwarder.decide(opening(1), now());
+  request(1, 0, 500);
+  Time.advance(seconds(3));
+  request(1, 1, 900);
+  BOOST_TEST(Load.counts().Answered == 0U);
+  BOOST_TEST(inProgress() > 0.9);
+}
+
+// A refusal comes sooner than any response, and would make a full upstream look
+// like a fast one.
+BOOST_FIXTURE_TEST_CASE(RefusalIsNoResponseTime, LoadFixture) {
+  const auto &u = *Directory.find(tagOf("i-1", seconds(1000)));
+  const auto before = Estimates.expectedTime(u, now() + seconds(9));
+  for (std::uint16_t port = 1; port < 20; ++port) {
+    LoadForwarder.decide(opening(port), now());
+    request(port, 0, 500);
+    Time.advance(milliseconds(1));
+    auto p = acknowledgement(port, 1, 500 + RefusalBytes);
+    p.Finishes = true;
+    LoadForwarder.decide(p, now());
+  }
+  BOOST_TEST((Estimates.expectedTime(u, now() + seconds(9)) >= before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
