--- a/src/edge/edge_events.h
+++ b/src/edge/edge_events.h
@@ -39,6 +39,8 @@
                                            "upstream_looked_up"};
 inline constexpr LogEvent PressureChanged{2319, Severity::Warning,
                                           "pressure_changed"};
+inline constexpr LogEvent OpeningTurnedAway{2320, Severity::Info,
+                                            "opening_turned_away"};
 inline constexpr LogEvent ParentLost{2313, Severity::Warning, "parent_lost"};
 
 } // namespace boragebridge::events
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -5,7 +5,7 @@
 #include "edge/edge_views.h"
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
-#include "edge/load/load_aware_policy.h"
+#include "edge/load/load_report.h"
 #include "edge/memory_gauges.h"
 #include "edge/picker.h"
 #include "edge/upstream_lookup.h"
@@ -21,7 +21,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <cmath>
 #include <csignal>
 #include <utility>
 
@@ -53,10 +52,6 @@
 /// address of the mirror.
 constexpr auto SeedPath = "/v1/seed";
 
-auto inPercent(double share) -> std::string {
-  return std::to_string(std::lround(share * 100));
-}
-
 auto textResponse(HttpStatus status, std::string text) -> HttpResponse {
   return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
 }
@@ -82,10 +77,10 @@
         BasePolicy(Directory, Estimates, Quota, Random,
                    {.LocalDataCentre = s.DataCentre}),
         Subsets(Directory, s.InstanceName, s.DataCentre),
-        Policy(BasePolicy, Load, Subsets, Random, {.Parts = s.Load}),
+        Policy(BasePolicy, Load, Subsets, Random, {.Parts = s.Parts}),
         PacketForwarder(Directory, Estimates, Policy,
                         {.MaxRefusalBytes = a.Packets->maxRefusalBytes()},
-                        s.Load.Limits ? &Load : nullptr),
+                        s.Parts.Limits ? &Load : nullptr),
         Flows(Log, Directory, Estimates),
         Views(Time, Random, Log, Platform, *a.Records, Directory, Quota,
               {.Self = {s.InstanceName, s.DataCentre, s.Mirror, s.Capacity},
@@ -139,7 +134,6 @@
   auto scheduleTick() -> void;
   auto tick() -> void;
   auto logPauseAndSuspects(TimePoint lastTick) -> void;
-  auto logPressure() -> void;
   auto reload() -> void;
   auto awaitSignal() -> void;
   auto beginStop() -> void;
@@ -192,6 +186,7 @@
     return s;
   Log.write(events::ProcessStarted, {{"packets", toString(Settings.Packets)},
                                      {"store", toString(Settings.Store)},
+                                     {"load", toString(Settings.Parts)},
                                      {"version", BORAGEBRIDGE_VERSION}});
   NextReload = Time.now() + ReloadInterval;
   awaitSignal();
@@ -356,7 +351,10 @@
   auto &buf = Resets[NextReset++ % Resets.size()];
   Socket->queue(Adapter.Packets->makeReset(p, buf),
                 Adapter.Packets->callerAddress(p.Flow.Caller));
-  Flows.onReset(p, why, Views.age(Now), Now);
+  if (why == EdgeReason::Overloaded)
+    logTurnedAway(Log, p, Policy, Views.age(Now));
+  else
+    Flows.onReset(p, why, Views.age(Now), Now);
 }
 
 auto EdgeServer::handleRequest(const HttpRequest &r) -> HttpResponse {
@@ -401,6 +399,7 @@
       .set(static_cast<double>(Directory.size()));
   Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
       .set(std::chrono::duration<double>(Views.age(Time.now())).count());
+  setLoadMetrics(Metrics, Load, Settings.Parts);
   setMemoryGauges(Metrics, std::as_const(Views).mirror());
   return Metrics.renderText();
 }
@@ -419,7 +418,7 @@
   Now = Time.now();
   PacketForwarder.tick(Now);
   logPauseAndSuspects(std::exchange(LastTick, Now));
-  logPressure();
+  logPressureChanges(Log, Load, Now);
   Views.tick(Now);
   advertiseMirror();
   if (Now >= NextReload)
@@ -456,18 +455,6 @@
            {"expected_ms", inMilliseconds(Estimates.expectedTime(*u, Now))}});
 }
 
-auto EdgeServer::logPressure() -> void {
-  for (const auto it : Load.takeChanges()) {
-    const auto least = Load.leastUrgentPriority(it, Now);
-    Log.write(
-        events::PressureChanged,
-        {{"service", std::to_string(raw(it))},
-         {"pressure", Load.isUnderPressure(it) ? "on" : "off"},
-         {"failed_percent", inPercent(Load.failedShare(it))},
-         {"reserved_percent", inPercent(Load.reservedShare(it, least, Now))}});
-  }
-}
-
 auto EdgeServer::reload() -> void {
   NextReload = Now + ReloadInterval;
   auto s = ReadSettings();
--- a/src/edge/edge_server.h
+++ b/src/edge/edge_server.h
@@ -43,7 +43,7 @@
   /// meanwhile.
   Duration StopDelay = std::chrono::milliseconds(2200);
   /// What decides under load. A change takes effect at the next start.
-  LoadParts Load;
+  LoadParts Parts;
 
   auto operator==(const EdgeSettings &) const -> bool = default;
 };
--- a/src/edge/flow_packet.h
+++ b/src/edge/flow_packet.h
@@ -24,6 +24,9 @@
   UpstreamTag Tag = UpstreamTag::None;
   /// Number of data bytes.
   std::uint16_t Length = 0;
+
+  /// Whether this opening packet was sent before. Precondition: Opens.
+  auto isRetransmittedOpening() const -> bool { return Acknowledged > 0; }
 };
 
 } // namespace boragebridge
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -61,8 +61,11 @@
   auto *entry = Flows.find(p.Flow);
   if (entry != nullptr && entry->FirstSequence == p.Sequence)
     return forwardRetransmission(p, route, *entry, now);
-  const auto pick = Policy.pick(
-      {.Route = route, .IsRetransmission = p.Acknowledged > 0}, now);
+  // The caller may have sent more of the flow while this process was paused.
+  const auto isRetransmission = p.isRetransmittedOpening() || isPaused(now) ||
+                                (entry != nullptr && entry->Open);
+  const auto pick =
+      Policy.pick({.Route = route, .IsRetransmission = isRetransmission}, now);
   if (pick.Upstream == nullptr)
     return {EdgeAction::Reset, pick.Reason == PickReason::Full
                                    ? EdgeReason::Overloaded
@@ -192,15 +195,17 @@
                               const RouteRecord *route, FlowEntry &e,
                               const UpstreamLifetime &u, TimePoint now)
     -> bool {
-  if (!std::exchange(e.AwaitsAnswer, false) || route == nullptr)
+  if (p.Resets || !std::exchange(e.AwaitsAnswer, false))
     return false;
   const auto isRefused = bytes <= Options.MaxRefusalBytes;
-  if (isRefused)
+  if (route == nullptr || isPaused(now) || e.RequestAt < ResumedAt)
+    Load->onEnded(u, e.RequestAt, now);
+  else if (isRefused)
     Load->onRefused(u, e.RequestAt, now);
   // The acknowledgement of a short answer may come with the next request only,
   // and does not show the response time then.
   else if (p.Length > 0)
-    Load->onEnded(u, e.RequestAt, now);
+    Load->onAnsweredBefore(*route, u, e.RequestAt, now);
   else
     Load->onAnswered(*route, u, e.RequestAt, now);
   return isRefused;
@@ -238,13 +243,15 @@
   }
 }
 
+auto Forwarder::isPaused(TimePoint now) const -> bool {
+  return LastTick != TimePoint{} && now - LastTick > Options.PauseThreshold;
+}
+
 /// Since when the flow's data waits for an answer, as far as this instance can
 /// tell: answers during a pause of this process went unseen.
 auto Forwarder::waitingSince(const FlowEntry &e, TimePoint now) const
     -> TimePoint {
-  const auto isPaused =
-      LastTick != TimePoint{} && now - LastTick > Options.PauseThreshold;
-  return isPaused ? now : std::max(e.SentAt, ResumedAt);
+  return isPaused(now) ? now : std::max(e.SentAt, ResumedAt);
 }
 
 /// Pins the flow to \p u. The packet echoes what \p u sent, so \p u has
@@ -268,7 +275,7 @@
 }
 
 auto Forwarder::tick(TimePoint now) -> void {
-  if (LastTick != TimePoint{} && now - LastTick > Options.PauseThreshold) {
+  if (isPaused(now)) {
     // The answers may be queued unread, or may have been dropped during the
     // pause.
     Estimates.clearFailures();
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -135,6 +135,8 @@
                           TimePoint now) -> EdgeDecision;
   /// Whether \p u is gone by the records and its flows get no answer.
   auto hasEnded(const UpstreamLifetime &u, TimePoint now) const -> bool;
+  /// Whether this process has been paused since the last tick.
+  auto isPaused(TimePoint now) const -> bool;
   auto waitingSince(const FlowEntry &e, TimePoint now) const -> TimePoint;
   auto observe(const FlowPacket &p, const RouteRecord *route, FlowEntry &e,
                const UpstreamLifetime &u, TimePoint now) -> void;
--- a/src/edge/load/concurrency_limits.cpp
+++ b/src/edge/load/concurrency_limits.cpp
@@ -1,7 +1,8 @@
 #include "edge/load/concurrency_limits.h"
 
+#include "edge/decay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace boragebridge {
 
@@ -31,8 +32,7 @@
 
 auto ConcurrencyLimits::remaining(TimePoint sentAt, TimePoint now) const
     -> double {
-  return std::exp(-Seconds(now - sentAt) /
-                  Seconds(Options.InProgressRetention));
+  return decayFactor(now - sentAt, Options.InProgressRetention);
 }
 
 auto ConcurrencyLimits::inProgress(const UpstreamLifetime &u,
@@ -48,17 +48,21 @@
   return e == nullptr ? initialLimit(u) : e->Limit;
 }
 
+auto ConcurrencyLimits::meanOf(const UpstreamLifetime &u) const -> double {
+  const auto it = MeanResponseSeconds.find(raw(u.Record.Service));
+  return it == MeanResponseSeconds.end()
+             ? Seconds(Options.InitialResponseTime).count()
+             : it->second;
+}
+
 auto ConcurrencyLimits::responseTime(const UpstreamLifetime &u,
                                      TimePoint now) const -> Duration {
-  const auto mean = MeanResponseSeconds > 0
-                        ? MeanResponseSeconds
-                        : Seconds(Options.InitialResponseTime).count();
+  const auto mean = meanOf(u);
   const auto *e = find(u);
   auto seconds = mean;
   if (e != nullptr && e->AnsweredAt != TimePoint{})
     seconds += (e->ResponseSeconds - mean) *
-               std::exp(-Seconds(now - e->AnsweredAt) /
-                        Seconds(Options.ResponseRetention));
+               decayFactor(now - e->AnsweredAt, Options.ResponseRetention);
   return std::chrono::duration_cast<Duration>(Seconds(seconds));
 }
 
@@ -95,11 +99,10 @@
   const auto took = Seconds(now - sentAt).count();
   e.ResponseSeconds = expected + Options.ResponseSmoothing * (took - expected);
   e.AnsweredAt = now;
-  if (MeanResponseSeconds == 0)
-    MeanResponseSeconds = took;
+  auto &mean = MeanResponseSeconds.try_emplace(raw(u.Record.Service), took)
+                   .first->second;
   // The mean of all upstreams moves more slowly than that of one.
-  MeanResponseSeconds +=
-      Options.ResponseSmoothing / 4 * (took - MeanResponseSeconds);
+  mean += Options.ResponseSmoothing / 4 * (took - mean);
   if (isLate)
     decrease(e, Options.LatenessDecrease, now);
   else if (isLimited)
--- a/src/edge/load/concurrency_limits.h
+++ b/src/edge/load/concurrency_limits.h
@@ -4,9 +4,9 @@
 /// Each upstream has a limit of requests in progress, learned from how it
 /// answers. The limit falls at once when the upstream refuses a request or
 /// answers late, and rises slowly while it answers in time and the limit is
-/// reached. The slots that the upstream registered are only the first guess. A
-/// lifetime of an upstream starts anew, and what is known of an upstream that
-/// is not used any more is forgotten.
+/// reached. The slots that the upstream registered are only the first guess,
+/// with which each lifetime of an upstream starts. The response time of an
+/// upstream that is not used drifts to the mean of all; its limit stays.
 ///
 /// Requests whose answers are never seen, for example because another instance
 /// forwards the rest of their flow, stop counting after a while.
@@ -21,13 +21,14 @@
 namespace boragebridge {
 
 struct ConcurrencyLimitsOptions {
-  /// A request without an answer counts e^-1 after this time.
+  /// Time in which the weight of a request without an answer decays to 1/e.
   Duration InProgressRetention = std::chrono::milliseconds(1000);
   /// Weight of a new response time in the moving average.
   double ResponseSmoothing = 0.25;
   /// Assumed for an upstream that has not answered yet.
   Duration InitialResponseTime = std::chrono::milliseconds(30);
-  /// What is known of an upstream that is not used counts e^-1 after this time.
+  /// Time in which the difference between the response time of an upstream that
+  /// is not used and the mean of all decays to 1/e.
   Duration ResponseRetention = std::chrono::seconds(4);
   /// The limit rises by this after as many answers as the limit allows
   /// requests.
@@ -65,9 +66,11 @@
     finish(entry(u), sentAt, now);
   }
 
-  /// Requests of this instance that \p u is processing.
+  /// Requests of this instance that \p u has not answered. Fractional, as
+  /// requests whose answers are never seen decay. An opening counts as one.
   auto inProgress(const UpstreamLifetime &u, TimePoint now) const -> double;
-  /// How many requests of this instance \p u takes well at a time.
+  /// How many requests of this instance \p u processes at a time without
+  /// refusals or late answers, as far as it is known; may be fractional.
   auto limit(const UpstreamLifetime &u) const -> double;
   /// Whether \p u takes one more request well.
   auto hasRoom(const UpstreamLifetime &u, TimePoint now) const -> bool {
@@ -93,6 +96,8 @@
 
   auto entry(const UpstreamLifetime &u) -> Entry &;
   auto find(const UpstreamLifetime &u) const -> const Entry *;
+  /// Mean response time of the service of \p u, in seconds.
+  auto meanOf(const UpstreamLifetime &u) const -> double;
   /// Share of a request in progress since \p sentAt that still counts.
   auto remaining(TimePoint sentAt, TimePoint now) const -> double;
   auto finish(Entry &e, TimePoint sentAt, TimePoint now) -> void;
@@ -102,8 +107,8 @@
 
   ConcurrencyLimitsOptions Options;
   std::vector<Entry> Entries;
-  /// Moving average over all upstreams.
-  double MeanResponseSeconds = 0;
+  /// Moving averages over all upstreams of a service.
+  std::unordered_map<std::uint64_t, double> MeanResponseSeconds;
 };
 
 } // namespace boragebridge
--- a/src/edge/load/load_aware_policy.h
+++ b/src/edge/load/load_aware_policy.h
@@ -32,6 +32,20 @@
   double CostJitter = 0.25;
 };
 
+/// Why a flow was turned away.
+struct TurnedAway {
+  unsigned Priority = 0;
+  /// Name of the upstream that would have answered soonest, the requests of
+  /// this instance that it was processing, and its limit.
+  std::string LeastLoaded;
+  double InProgress = 0;
+  double Limit = 0;
+  /// Share of the service's recent requests that were refused or late, and of
+  /// its upstreams that were kept for more urgent routes.
+  double MissedShare = 0;
+  double ReservedShare = 0;
+};
+
 class LoadAwarePolicy final : public PlacementPolicy {
 public:
   /// All references must outlive the policy.
@@ -47,6 +61,8 @@
     Base.onRetransmitted(u, now);
   }
 
+  /// The last flow that was turned away.
+  auto lastTurnedAway() const -> const TurnedAway & { return LastTurnedAway; }
   auto parts() const -> const LoadParts & { return Options.Parts; }
 
 private:
@@ -65,8 +81,13 @@
   };
 
   auto isUnderPressure(const RouteRecord &route) const -> bool;
+  auto turnAway(const RouteRecord &route, ServiceId service, const Choice &c,
+                TimePoint now) -> Pick;
   auto choose(const RouteRecord &route, ServiceId service, TimePoint now)
       -> Choice;
+  /// Considers some local upstreams, from a random one on, in their order.
+  auto considerMore(const ServiceSubset &subset, double reserved,
+                    ServiceId service, TimePoint now, Choice &out) -> void;
   auto consider(const SubsetUpstream &it, ServiceId service, TimePoint now,
                 Choice &out) -> void;
   auto cost(const SubsetUpstream &it, TimePoint now) -> double;
@@ -79,6 +100,7 @@
   UpstreamSubsets &Subsets;
   RandomSource &Random;
   LoadAwarePolicyOptions Options;
+  TurnedAway LastTurnedAway;
 };
 
 } // namespace boragebridge
--- a/src/edge/load/load_control.cpp
+++ b/src/edge/load/load_control.cpp
@@ -1,17 +1,15 @@
 #include "edge/load/load_control.h"
 
+#include "edge/decay.h"
+
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace boragebridge {
 
-using Seconds = std::chrono::duration<double>;
-
 auto LoadControl::valueOf(const DecayingCount &c, TimePoint now) const
     -> double {
-  return c.Value *
-         std::exp(-Seconds(now - c.At) / Seconds(Options.DemandWindow));
+  return c.Value * decayFactor(now - c.At, Options.DemandWindow);
 }
 
 auto LoadControl::add(DecayingCount &c, TimePoint now) const -> void {
@@ -22,9 +20,9 @@
   const auto it = Services.find(raw(s));
   if (it != Services.end())
     return it->second;
-  return Services
-      .emplace(raw(s), ServiceLoad{Pressure(Options.PressureLimits), {}, {}})
-      .first->second;
+  ServiceLoad load;
+  load.State = Pressure(Options.PressureThresholds);
+  return Services.emplace(raw(s), std::move(load)).first->second;
 }
 
 auto LoadControl::find(ServiceId s) const -> const ServiceLoad * {
@@ -41,38 +39,60 @@
 auto LoadControl::onSent(const RouteRecord &r, const UpstreamLifetime &u,
                          TimePoint now) -> void {
   Limits.onSent(u, now);
-  add(loadOf(u.Record.Service).Sent[r.Priority], now);
+  add(loadOf(u.Record.Service).SentByPriority[r.Priority], now);
+}
+
+auto LoadControl::isLate(const RouteRecord &r, TimePoint sentAt,
+                         TimePoint now) const -> bool {
+  return r.ResponseTimeTarget > Duration::zero() &&
+         now - sentAt > r.ResponseTimeTarget * Options.LateShare;
 }
 
 auto LoadControl::onAnswered(const RouteRecord &r, const UpstreamLifetime &u,
                              TimePoint sentAt, TimePoint now) -> void {
-  const auto isLate = r.ResponseTimeTarget > Duration::zero() &&
-                      now - sentAt > r.ResponseTimeTarget * Options.LateShare;
-  Limits.onAnswered(u, sentAt, isLate, now);
+  const auto late = isLate(r, sentAt, now);
+  Limits.onAnswered(u, sentAt, late, now);
   auto &load = loadOf(u.Record.Service);
   add(load.Answered, now);
   ++Counts.Answered;
-  if (isLate) {
+  if (late) {
     ++Counts.Late;
-    load.State.onFailed(now);
+    load.State.onMissed(now);
   } else {
-    load.State.onServed(now);
+    load.State.onMet(now);
   }
   noteChange(u.Record.Service, load);
 }
 
+auto LoadControl::onAnsweredBefore(const RouteRecord &r,
+                                   const UpstreamLifetime &u, TimePoint sentAt,
+                                   TimePoint now) -> void {
+  Limits.onEnded(u, sentAt, now);
+  if (isLate(r, sentAt, now))
+    return;
+  auto &load = loadOf(u.Record.Service);
+  add(load.Answered, now);
+  ++Counts.Answered;
+  load.State.onMet(now);
+  noteChange(u.Record.Service, load);
+}
+
 auto LoadControl::onRefused(const UpstreamLifetime &u, TimePoint sentAt,
                             TimePoint now) -> void {
   Limits.onRefused(u, sentAt, now);
   ++Counts.Refused;
   auto &load = loadOf(u.Record.Service);
-  load.State.onFailed(now);
+  add(load.Refused, now);
+  load.State.onMissed(now);
   noteChange(u.Record.Service, load);
 }
 
-auto LoadControl::onTurnedAway(ServiceId s, TimePoint now) -> void {
+auto LoadControl::onTurnedAway(const RouteRecord &r, ServiceId s, TimePoint now)
+    -> void {
   ++Counts.TurnedAway;
-  loadOf(s).State.onFailed(now);
+  auto &load = loadOf(s);
+  add(load.TurnedAwayByPriority[r.Priority], now);
+  load.State.onMissed(now);
 }
 
 auto LoadControl::tick(TimePoint now) -> void {
@@ -87,9 +107,16 @@
   return load != nullptr && load->State.isOn();
 }
 
-auto LoadControl::failedShare(ServiceId s) const -> double {
+auto LoadControl::areRefusalsRare(ServiceId s, TimePoint now) const -> bool {
   const auto *load = find(s);
-  return load == nullptr ? 0 : load->State.failedShare();
+  return load != nullptr &&
+         valueOf(load->Refused, now) <
+             Options.RareRefusalShare * valueOf(load->Answered, now);
+}
+
+auto LoadControl::missedShare(ServiceId s) const -> double {
+  const auto *load = find(s);
+  return load == nullptr ? 0 : load->State.missedShare();
 }
 
 auto LoadControl::reservedShare(ServiceId s, unsigned priority,
@@ -98,7 +125,7 @@
   if (load == nullptr || !load->State.isOn())
     return 0;
   auto urgent = 0.0;
-  for (const auto &[other, sent] : load->Sent)
+  for (const auto &[other, sent] : load->SentByPriority)
     if (other < priority)
       urgent += valueOf(sent, now);
   // Under pressure the upstreams answer as much as they can.
@@ -111,12 +138,16 @@
     -> unsigned {
   const auto *load = find(s);
   if (load == nullptr)
-    return 0;
-  auto least = 0U;
-  for (const auto &[priority, sent] : load->Sent)
-    if (valueOf(sent, now) > 1)
-      least = priority;
-  return least;
+    return RouteRecord::LeastUrgent;
+  // A route that asks only now and then is recent for some seconds.
+  constexpr double MinRecent = 0.1;
+  std::optional<unsigned> least;
+  for (const auto *counts :
+       {&load->SentByPriority, &load->TurnedAwayByPriority})
+    for (const auto &[priority, n] : *counts)
+      if (valueOf(n, now) > MinRecent)
+        least = std::max(least.value_or(0), priority);
+  return least.value_or(RouteRecord::LeastUrgent);
 }
 
 auto LoadControl::takeChanges() -> std::vector<ServiceId> {
--- a/src/edge/load/load_control.h
+++ b/src/edge/load/load_control.h
@@ -18,17 +18,18 @@
 
 struct LoadControlOptions {
   ConcurrencyLimitsOptions Limits;
-  PressureOptions PressureLimits;
+  PressureOptions PressureThresholds;
   /// An answer is late if it takes more than this share of the target of its
   /// route. A caller whose first attempt fails needs time for a second one.
   double LateShare = 0.5;
-  /// Requests count e^-1 after this time when the share of urgent routes is
-  /// computed.
+  /// Time in which a request's weight in the demand of routes decays to 1/e.
   Duration DemandWindow = std::chrono::seconds(2);
   /// Upstreams kept for urgent routes, relative to what their requests need.
   double ReservedHeadroom = 1.3;
   /// Never more than this share of the upstreams is kept for urgent routes.
   double MaxReservedShare = 0.5;
+  /// Refusals are rare if they are fewer than this share of the answers.
+  double RareRefusalShare = 0.05;
 };
 
 /// Requests and openings of a service since the start of the process.
@@ -56,26 +57,40 @@
   /// \p u refused a request that was sent at \p sentAt.
   auto onRefused(const UpstreamLifetime &u, TimePoint sentAt, TimePoint now)
       -> void;
+  /// \p u answered a request that was sent at \p sentAt, at some time before
+  /// now.
+  auto onAnsweredBefore(const RouteRecord &r, const UpstreamLifetime &u,
+                        TimePoint sentAt, TimePoint now) -> void;
   /// A request that was sent at \p sentAt has ended in a way that does not show
-  /// when it was answered.
+  /// whether or when it was answered.
   auto onEnded(const UpstreamLifetime &u, TimePoint sentAt, TimePoint now)
       -> void {
     Limits.onEnded(u, sentAt, now);
   }
-  /// A new flow for \p s was turned away, because no upstream had room.
-  auto onTurnedAway(ServiceId s, TimePoint now) -> void;
+  /// A new flow of \p r for \p s was turned away, because no upstream had
+  /// room.
+  auto onTurnedAway(const RouteRecord &r, ServiceId s, TimePoint now) -> void;
+  /// Pressure of \p s does not end soon: it would return if the choices that it
+  /// calls for were not made.
+  auto holdPressure(ServiceId s, TimePoint now) -> void {
+    loadOf(s).State.hold(now);
+  }
   /// Call about once per second.
   auto tick(TimePoint now) -> void;
 
   auto isUnderPressure(ServiceId s) const -> bool;
-  /// Share of the recent requests for \p s that were refused or late.
-  auto failedShare(ServiceId s) const -> double;
+  /// Whether hardly any of the recent requests that were sent to upstreams of
+  /// \p s were refused there.
+  auto areRefusalsRare(ServiceId s, TimePoint now) const -> bool;
+  /// Share of the recent requests for \p s that were refused, turned away by
+  /// this instance, or answered late.
+  auto missedShare(ServiceId s) const -> double;
   /// Share of the upstreams of \p s that routes of \p priority leave to more
   /// urgent ones; 0 without pressure.
   auto reservedShare(ServiceId s, unsigned priority, TimePoint now) const
       -> double;
-  /// The priority of the least urgent route that had recent requests for \p s;
-  /// 0 if there were none.
+  /// The priority of the least urgent route whose callers recently asked for
+  /// \p s; RouteRecord::LeastUrgent if there were none.
   auto leastUrgentPriority(ServiceId s, TimePoint now) const -> unsigned;
   auto limits() const -> const ConcurrencyLimits & { return Limits; }
   /// Sums over all services.
@@ -94,11 +109,16 @@
   struct ServiceLoad {
     Pressure State;
     DecayingCount Answered;
+    DecayingCount Refused;
     /// Requests sent, by priority.
-    std::map<unsigned, DecayingCount> Sent;
+    std::map<unsigned, DecayingCount> SentByPriority;
+    /// Flows turned away, by priority.
+    std::map<unsigned, DecayingCount> TurnedAwayByPriority;
     bool WasUnderPressure = false;
   };
 
+  auto isLate(const RouteRecord &r, TimePoint sentAt, TimePoint now) const
+      -> bool;
   auto valueOf(const DecayingCount &c, TimePoint now) const -> double;
   auto add(DecayingCount &c, TimePoint now) const -> void;
   auto loadOf(ServiceId s) -> ServiceLoad &;
--- a/src/edge/load/pressure.cpp
+++ b/src/edge/load/pressure.cpp
@@ -1,23 +1,20 @@
 #include "edge/load/pressure.h"
 
-#include <cmath>
+#include "edge/decay.h"
 
 namespace boragebridge {
 
-using Seconds = std::chrono::duration<double>;
-
 auto Pressure::decay(TimePoint now) -> void {
-  const auto left =
-      std::exp(-Seconds(now - DecayedAt) / Seconds(Options.Window));
+  const auto left = decayFactor(now - DecayedAt, Options.Window);
   Requests *= left;
-  Failures *= left;
+  Missed *= left;
   DecayedAt = now;
 }
 
 auto Pressure::record(double failures, TimePoint now) -> void {
   decay(now);
   Requests += 1;
-  Failures += failures;
+  Missed += failures;
   decide(now);
 }
 
@@ -27,8 +24,8 @@
 }
 
 auto Pressure::decide(TimePoint now) -> void {
-  const auto share = failedShare();
-  if (share > Options.BeginShare && Failures >= Options.MinFailures)
+  const auto share = missedShare();
+  if (share > Options.BeginShare && Missed >= Options.MinMissed)
     On = true;
   // Without requests there is no pressure, whatever the last ones met.
   if (share > Options.EndShare && Requests >= 1)
--- a/src/edge/load/pressure.h
+++ b/src/edge/load/pressure.h
@@ -13,12 +13,12 @@
 namespace boragebridge {
 
 struct PressureOptions {
-  /// Requests count e^-1 after this time.
+  /// Time in which a request's weight decays to 1/e.
   Duration Window = std::chrono::milliseconds(1000);
   /// Pressure begins when more than this share of the requests was refused or
-  /// late, and at least as many as MinFailures were.
+  /// late, and their decayed number is at least MinMissed.
   double BeginShare = 0.1;
-  double MinFailures = 3;
+  double MinMissed = 3;
   /// Pressure ends when less than this share was, for EndTime.
   double EndShare = 0.03;
   Duration EndTime = std::chrono::seconds(2);
@@ -29,14 +29,17 @@
   explicit Pressure(PressureOptions opt = {}) : Options(opt) {}
 
   /// A request was answered in time.
-  auto onServed(TimePoint now) -> void { record(0, now); }
-  /// A request was refused, or answered late.
-  auto onFailed(TimePoint now) -> void { record(1, now); }
+  auto onMet(TimePoint now) -> void { record(0, now); }
+  /// A request was refused, turned away or answered late.
+  auto onMissed(TimePoint now) -> void { record(1, now); }
+
+  /// Pressure that is on does not end before EndTime from now.
+  auto hold(TimePoint now) -> void { HighAt = now; }
 
   auto isOn() const -> bool { return On; }
-  /// Share of the recent requests that were refused or late.
-  auto failedShare() const -> double {
-    return Requests > 0 ? Failures / Requests : 0;
+  /// Share of the recent requests that were refused, turned away or late.
+  auto missedShare() const -> double {
+    return Requests > 0 ? Missed / Requests : 0;
   }
   /// Ends the pressure if no request was counted for long. Call about once per
   /// second.
@@ -49,7 +52,7 @@
 
   PressureOptions Options;
   double Requests = 0;
-  double Failures = 0;
+  double Missed = 0;
   TimePoint DecayedAt;
   /// When the share of failures was last above EndShare.
   TimePoint HighAt;
--- a/src/edge/load/upstream_subsets.cpp
+++ b/src/edge/load/upstream_subsets.cpp
@@ -2,22 +2,26 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace boragebridge {
 
-using Upstreams = std::vector<const UpstreamLifetime *>;
-
-static auto tagNumber(const UpstreamLifetime &u) -> std::uint64_t {
-  return static_cast<std::uint32_t>(u.Tag);
-}
+using Upstreams = std::vector<SubsetUpstream>;
 
 /// Puts \p all into an order that depends on their tags and \p seed alone.
 static auto shuffle(Upstreams &all, std::uint64_t seed) -> void {
-  const auto key = [seed](const auto *u) {
-    return hashPair(tagNumber(*u), seed);
-  };
-  std::sort(all.begin(), all.end(),
-            [&](const auto *a, const auto *b) { return key(a) < key(b); });
+  std::vector<std::pair<std::uint64_t, std::size_t>> keys;
+  keys.reserve(all.size());
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    const auto tag = static_cast<std::uint32_t>(all[i].Upstream->Tag);
+    keys.emplace_back(hashPair(std::uint64_t{tag}, seed), i);
+  }
+  std::sort(keys.begin(), keys.end());
+  Upstreams ordered;
+  ordered.reserve(all.size());
+  for (const auto &[key, i] : keys)
+    ordered.push_back(all[i]);
+  all = std::move(ordered);
 }
 
 auto subsetOf(Upstreams all, std::size_t index, std::size_t senders,
@@ -62,50 +66,52 @@
   std::map<DataCentreId, Upstreams> byDataCentre;
   for (const auto *it : Directory.upstreamsOf(service))
     if (Directory.mayOpen(*it, now))
-      byDataCentre[it->Record.DataCentre].push_back(it);
+      byDataCentre[it->Record.DataCentre].push_back({it});
   ServiceSubset out;
-  for (const auto &[dataCentre, all] : byDataCentre)
-    addDataCentre(all, dataCentre != DataCentre, out);
+  for (auto &[dataCentre, all] : byDataCentre)
+    addDataCentre(std::move(all), dataCentre != DataCentre, out);
   return out;
 }
 
-auto UpstreamSubsets::addDataCentre(const Upstreams &all, bool isRemote,
-                                    ServiceSubset &out) const -> void {
-  // Instances of other data centres than the upstreams' share the remote part.
-  const auto sends = [&](const MemberRecord &m) {
-    const auto isLocal = m.DataCentre == all.front()->Record.DataCentre;
-    return isRemote ? !isLocal : isLocal;
-  };
-  std::size_t index = 0;
-  std::size_t senders = 0;
+auto UpstreamSubsets::rankOfSelf(DataCentreId dataCentre, bool isRemote) const
+    -> SenderRank {
+  SenderRank out;
   auto isMember = false;
   for (const auto &it : Members) {
-    if (!sends(it))
+    if ((it.DataCentre != dataCentre) != isRemote)
       continue;
     isMember = isMember || it.Name == Self;
-    index += it.Name < Self ? 1 : 0;
-    ++senders;
+    out.Index += it.Name < Self ? 1 : 0;
+    ++out.Senders;
   }
   // An instance that is not registered yet is counted as one sender more.
-  senders += isMember ? 0 : 1;
-  const auto target =
-      isRemote ? Options.TargetRemoteSenders : Options.TargetSenders;
-  auto ordered = all;
-  shuffle(ordered, 0);
-  std::unordered_map<const UpstreamLifetime *, double> positions;
-  const auto n = static_cast<double>(ordered.size());
-  for (std::size_t i = 0; i < ordered.size(); ++i)
-    positions[ordered[i]] = static_cast<double>(i + 1) / n;
-  const auto used = subsetOf(all, index, senders, target, Options.MinUpstreams);
-  const auto sendersOfOne =
-      std::max(1.0, static_cast<double>(senders * used.size()) / n);
-  for (const auto *it : used)
-    out.Used.push_back({it, positions[it], sendersOfOne, isRemote});
-  if (isRemote)
-    return;
-  for (const auto *it : ordered)
-    out.Local.push_back(
-        {it, positions[it], static_cast<double>(senders), isRemote});
+  out.Senders += isMember ? 0 : 1;
+  return out;
+}
+
+auto UpstreamSubsets::addDataCentre(Upstreams all, bool isRemote,
+                                    ServiceSubset &out) const -> void {
+  const auto rank =
+      rankOfSelf(all.front().Upstream->Record.DataCentre, isRemote);
+  const auto n = static_cast<double>(all.size());
+  shuffle(all, 0);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    all[i].Position = static_cast<double>(i + 1) / n;
+    all[i].Senders = static_cast<double>(rank.Senders);
+    all[i].IsRemote = isRemote;
+  }
+  auto used =
+      subsetOf(all, rank.Index, rank.Senders,
+               isRemote ? Options.TargetRemoteSenders : Options.TargetSenders,
+               Options.MinUpstreams);
+  const auto senders =
+      std::max(1.0, static_cast<double>(rank.Senders * used.size()) / n);
+  for (auto &it : used) {
+    it.Senders = senders;
+    out.Used.push_back(it);
+  }
+  if (!isRemote)
+    out.Local = std::move(all);
 }
 
 } // namespace boragebridge
--- a/src/edge/load/upstream_subsets.h
+++ b/src/edge/load/upstream_subsets.h
@@ -4,11 +4,11 @@
 /// An instance that spreads its flows over all upstreams meets each of them too
 /// rarely to know its load. Under pressure it therefore uses a part of them, so
 /// that each upstream of a data centre gets flows from TargetSenders instances
-/// only, and an instance's own requests tell it enough. All instances have the
-/// same number of upstreams, and all upstreams the same number of instances,
-/// without any message: the parts follow from the list of members and the list
-/// of upstreams, which all instances read. Where the lists differ for a while,
-/// some upstreams have a sender more or less.
+/// only, and an instance's own requests tell it enough. All subsets have the
+/// same number of upstreams, and all upstreams the same number of senders, give
+/// or take one, without any message: the parts follow from the list of members
+/// and the list of upstreams, which all instances read. Where the lists differ
+/// for a while, some upstreams have a sender more or less.
 ///
 /// Upstreams also have a position in their data centre, which all instances
 /// agree on; the first ones can be kept for urgent routes.
@@ -36,9 +36,11 @@
 /// An upstream that an instance may use.
 struct SubsetUpstream {
   const UpstreamLifetime *Upstream = nullptr;
-  /// Position among the upstreams of the service in its data centre, in (0, 1].
+  /// Rank among the upstreams of the service in its data centre, divided by
+  /// their number: those up to 0.3 are the first 30%.
   double Position = 0;
-  /// Number of instances that use it, including this one; at least 1.
+  /// Mean number of instances that send flows to an upstream of this list,
+  /// including this one; at least 1.
   double Senders = 1;
   bool IsRemote = false;
 };
@@ -51,13 +53,14 @@
   std::vector<SubsetUpstream> Local;
 };
 
-/// This instance's part of \p all for the sender \p index of \p senders.
-/// Preconditions: \p index is below \p senders, which is above 0; all senders
-/// pass the same \p all, in any order.
-auto subsetOf(std::vector<const UpstreamLifetime *> all, std::size_t index,
+/// The part of \p all that the sender \p index of \p senders uses. Each
+/// upstream gets about \p targetSenders senders, and each sender at least \p
+/// minUpstreams upstreams, or all. Preconditions: \p index is below \p senders,
+/// and both are above 0 with \p minUpstreams; all senders pass the same \p all,
+/// in any order.
+auto subsetOf(std::vector<SubsetUpstream> all, std::size_t index,
               std::size_t senders, std::size_t targetSenders,
-              std::size_t minUpstreams)
-    -> std::vector<const UpstreamLifetime *>;
+              std::size_t minUpstreams) -> std::vector<SubsetUpstream>;
 
 class UpstreamSubsets {
 public:
@@ -82,8 +85,18 @@
   };
 
   auto make(ServiceId service, TimePoint now) const -> ServiceSubset;
-  auto addDataCentre(const std::vector<const UpstreamLifetime *> &all,
-                     bool isRemote, ServiceSubset &out) const -> void;
+  /// This instance's place among the instances that send flows to the upstreams
+  /// of a data centre, and their number, which includes it.
+  struct SenderRank {
+    std::size_t Index = 0;
+    std::size_t Senders = 0;
+  };
+
+  /// \p isRemote: \p dataCentre is not that of this instance, and shared by the
+  /// instances of all other data centres.
+  auto rankOfSelf(DataCentreId dataCentre, bool isRemote) const -> SenderRank;
+  auto addDataCentre(std::vector<SubsetUpstream> all, bool isRemote,
+                     ServiceSubset &out) const -> void;
 
   const UpstreamDirectory &Directory;
   std::string Self;
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -8,9 +8,13 @@
       Options(opt) {}
 
 auto Picker::pick(const Opening &o, TimePoint now) -> Pick {
+  return pickFrom(o, chooseService(o.Route, Random), now);
+}
+
+auto Picker::pickFrom(const Opening &o, std::size_t first, TimePoint now)
+    -> Pick {
   const auto &route = o.Route;
   const auto *except = o.Except;
-  const auto first = chooseService(route, Random);
   const auto n = route.Services.size();
   Pick best;
   for (std::size_t i = 0; i < n && best.Upstream == nullptr; ++i)
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -42,6 +42,8 @@
   /// Records the choice as load, as a trial of a suspected upstream, or against
   /// the cold-start quota.
   auto pick(const Opening &o, TimePoint now) -> Pick override;
+  /// As pick(), beginning with the service at index \p first of the route.
+  auto pickFrom(const Opening &o, std::size_t first, TimePoint now) -> Pick;
   /// The retransmission may be the only copy that arrives, so it counts against
   /// the cold-start quota as well.
   auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
--- a/src/edge/placement_policy.h
+++ b/src/edge/placement_policy.h
@@ -1,6 +1,6 @@
 /// \file
-/// The strategy by which Forwarder places new flows. Picker is the one in use;
-/// others serve as baselines in experiments.
+/// The strategy by which Forwarder places new flows. LoadAwarePolicy is the one
+/// in use, on top of Picker; others serve as baselines in experiments.
 #ifndef BORAGEBRIDGE_EDGE_PLACEMENT_POLICY_H
 #define BORAGEBRIDGE_EDGE_PLACEMENT_POLICY_H
 
@@ -9,7 +9,8 @@
 
 namespace boragebridge {
 
-/// Why an upstream was chosen, in order of preference, or why none was.
+/// Why an upstream was chosen, in order of preference from Best to Missing, or
+/// why none was.
 enum class PickReason : std::uint8_t {
   Best,
   Cold,
@@ -33,7 +34,7 @@
 struct Opening {
   const RouteRecord &Route;
   /// The upstream that the flow was sent to before, which did not answer; null
-  /// if there is none.
+  /// if there is none. Set only for a retransmission.
   const UpstreamLifetime *Except = nullptr;
   /// The packet was sent before, so the flow may be open already.
   bool IsRetransmission = false;
--- a/src/edge/upstream_estimates.cpp
+++ b/src/edge/upstream_estimates.cpp
@@ -1,7 +1,8 @@
 #include "edge/upstream_estimates.h"
 
+#include "edge/decay.h"
+
 #include <algorithm>
-#include <cmath>
 
 namespace boragebridge {
 
@@ -38,8 +39,7 @@
   const auto *e = find(u);
   if (e == nullptr || e->Load == 0)
     return 0;
-  return e->Load *
-         std::exp(-Seconds(now - e->LoadAt) / Seconds(Options.LoadDecayTime));
+  return e->Load * decayFactor(now - e->LoadAt, Options.LoadDecayTime);
 }
 
 auto UpstreamEstimates::onAnswered(const UpstreamLifetime &u, Duration took,
