Explain where a new request of a route would go now

Cause: an operator could not ask a running edge instance which upstream it would choose for a route, whether an opening would be turned away, and why.

Change: `boragectl explain` asks `GET /explain?route=ADDRESS:PORT` of an instance, which answers in text. Picker and LoadAwarePolicy have a const preview() that runs the functions of pick() with a source of equal random factors; the cost formula of each stands once, in expectedTime(). UpstreamSubsets::preview() doesn't renew the cached lists, whose age decides later choices. Costs are computed as before, in the same order of draws.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -6,6 +6,7 @@
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
 #include "edge/load/load_aware_policy.h"
+#include "edge/load/placement_explanation.h"
 #include "edge/memory_gauges.h"
 #include "edge/picker.h"
 #include "edge/upstream_lookup.h"
@@ -135,6 +136,8 @@
                   std::span<std::byte> datagram) -> void;
   auto reset(const FlowPacket &p, EdgeReason why) -> void;
   auto handleRequest(const HttpRequest &r) -> HttpResponse;
+  /// The response to an operator who asks where a new request would go.
+  auto explain(const std::string &target) -> HttpResponse;
   auto renderMetrics() -> std::string;
   auto scheduleTick() -> void;
   auto tick() -> void;
@@ -365,11 +368,27 @@
             "text/plain; version=0.0.4",
             renderMetrics(),
             {}};
+  if (isExplainTarget(r.Target))
+    return explain(r.Target);
   if (Views.isComplete() && !StopAt)
     return textResponse(HttpStatus::Ok, "ready");
   return textResponse(HttpStatus::ServiceUnavailable, "not ready");
 }
 
+auto EdgeServer::explain(const std::string &target) -> HttpResponse {
+  const auto route = parseExplainTarget(target);
+  if (!route.ok())
+    return textResponse(HttpStatus::BadRequest,
+                        std::string(route.status().message()));
+  const auto now = Time.now();
+  const auto e = explainPlacement({Directory, BasePolicy, Load, Policy}, *route,
+                                  Views.age(now), now);
+  if (!e.ok())
+    return textResponse(HttpStatus::NotFound,
+                        std::string(e.status().message()));
+  return textResponse(HttpStatus::Ok, render(*e));
+}
+
 auto EdgeServer::renderMetrics() -> std::string {
   auto set = [this](const std::string &name, const std::string &help,
                     std::uint64_t total) {
--- a/src/edge/load/load_aware_policy.cpp
+++ b/src/edge/load/load_aware_policy.cpp
@@ -5,11 +5,15 @@
 namespace boragebridge {
 
 auto LoadAwarePolicy::isUnderPressure(const RouteRecord &route) const -> bool {
-  return Options.Parts.Limits &&
-         std::any_of(route.Services.begin(), route.Services.end(),
-                     [this](const auto &it) {
-                       return Load.isUnderPressure(it.Service);
-                     });
+  return std::any_of(
+      route.Services.begin(), route.Services.end(),
+      [this](const auto &it) { return isUnderPressure(it.Service); });
+}
+
+auto LoadAwarePolicy::mayTurnAway(const RouteRecord &route, ServiceId service,
+                                  TimePoint now) const -> bool {
+  return Options.Parts.Admission &&
+         route.Priority >= Load.leastUrgentPriority(service, now);
 }
 
 auto LoadAwarePolicy::pick(const Opening &o, TimePoint now) -> Pick {
@@ -18,15 +22,14 @@
   if (o.IsRetransmission || !isUnderPressure(o.Route))
     return Base.pick(o, now);
   const auto service = o.Route.Services[chooseService(o.Route, Random)].Service;
-  if (!Load.isUnderPressure(service))
+  if (!isUnderPressure(service))
     return Base.pick(o, now);
-  const auto choice = choose(o.Route, service, now);
-  if (choice.Local.Upstream == nullptr && choice.Remote.Upstream == nullptr)
+  const auto choice =
+      choose(Subsets.of(service, now), reservedShares(o.Route, service, now),
+             service, Random, now);
+  if (choice.isEmpty())
     return Base.pick(o, now);
-  const auto mayTurnAway =
-      Options.Parts.Admission &&
-      o.Route.Priority >= Load.leastUrgentPriority(service, now);
-  const auto *u = decide(choice, mayTurnAway);
+  const auto *u = decide(choice, mayTurnAway(o.Route, service, now));
   if (u == nullptr) {
     Load.onTurnedAway(service, now);
     return {nullptr, PickReason::Full};
@@ -36,34 +39,88 @@
   return p;
 }
 
-auto LoadAwarePolicy::choose(const RouteRecord &route, ServiceId service,
-                             TimePoint now) -> Choice {
-  const auto &subset = Subsets.of(service, now);
-  const auto reservedFrom = [&](unsigned priority) {
-    return Options.Parts.Admission ? Load.reservedShare(service, priority, now)
-                                   : 0;
+auto LoadAwarePolicy::preview(const RouteRecord &route, ServiceId service,
+                              TimePoint now) const -> PlacementPreview {
+  const auto subset = Subsets.preview(service, now);
+  const auto reserved = reservedShares(route, service, now);
+  PlacementPreview out;
+  out.IsUnderPressure = isUnderPressure(service);
+  out.ReservedShare = reserved.Kept;
+  out.Upstreams = previewUpstreams(subset, reserved, now);
+  EqualFactors equal;
+  const auto choice = choose(subset, reserved, service, equal, now);
+  out.IsPickers = !out.IsUnderPressure || choice.isEmpty();
+  if (out.IsPickers) {
+    out.Chosen = Base.preview(service, now);
+    return out;
+  }
+  const auto *u = decide(choice, mayTurnAway(route, service, now));
+  out.Chosen = {u, u == nullptr ? PickReason::Full : PickReason::Best};
+  return out;
+}
+
+auto LoadAwarePolicy::previewUpstreams(const ServiceSubset &subset,
+                                       const ReservedShares &r,
+                                       TimePoint now) const
+    -> std::vector<PreviewedUpstream> {
+  std::vector<PreviewedUpstream> out;
+  std::unordered_map<const UpstreamLifetime *, std::size_t> known;
+  const auto add = [&](const SubsetUpstream &it, bool isUsed) {
+    const auto expected = expectedTime(it, now);
+    const auto [at, isNew] = known.emplace(it.Upstream, out.size());
+    if (isNew)
+      out.push_back({it.Upstream, isUsed, it.Position <= r.Kept, expected});
+    else if (isUsed)
+      out[at->second].Expected = std::min(out[at->second].Expected, expected);
   };
-  const auto kept = reservedFrom(route.Priority);
-  Choice out;
+  visitUsed(subset, r, [&](const auto &it) { add(it, true); });
+  for (const auto &it : subset.Local)
+    add(it, false);
+  return out;
+}
+
+auto LoadAwarePolicy::reservedShares(const RouteRecord &route,
+                                     ServiceId service, TimePoint now) const
+    -> ReservedShares {
+  if (!Options.Parts.Admission)
+    return {};
+  return {
+      Load.reservedShare(service, route.Priority, now),
+      Load.reservedShare(service, Load.leastUrgentPriority(service, now), now)};
+}
+
+template <typename F>
+auto LoadAwarePolicy::visitUsed(const ServiceSubset &subset,
+                                const ReservedShares &r, F f) -> void {
   for (const auto &it : subset.Used)
-    if (it.Position > kept)
-      consider(it, service, now, out);
-  // Upstreams that less urgent routes leave are there for this one.
-  const auto spared = reservedFrom(Load.leastUrgentPriority(service, now));
+    f(it);
+  // Upstreams that less urgent routes leave are there for more urgent ones.
   for (const auto &it : subset.Local) {
-    if (it.Position > spared)
+    if (it.Position > r.Spared)
       break;
-    if (it.Position > kept)
-      consider(it, service, now, out);
+    f(it);
   }
+}
+
+auto LoadAwarePolicy::choose(const ServiceSubset &subset,
+                             const ReservedShares &r, ServiceId service,
+                             RandomSource &random, TimePoint now) const
+    -> Choice {
+  Choice out;
+  visitUsed(subset, r, [&](const auto &it) {
+    if (it.Position > r.Kept)
+      consider(it, service, random, now, out);
+  });
   return out;
 }
 
 auto LoadAwarePolicy::consider(const SubsetUpstream &it, ServiceId service,
-                               TimePoint now, Choice &out) -> void {
+                               RandomSource &random, TimePoint now,
+                               Choice &out) const -> void {
   if (Base.classify(*it.Upstream, service, now) != PickReason::Best)
     return;
-  const Candidate c{it.Upstream, cost(it, now)};
+  const Candidate c{it.Upstream, expectedTime(it, now).count() *
+                                     (1 + Options.CostJitter * random.unit())};
   const auto keepBetter = [&c](Candidate &best) {
     if (best.Upstream == nullptr || c.Cost < best.Cost)
       best = c;
@@ -74,17 +131,15 @@
     keepBetter(it.IsRemote ? out.RemoteWithRoom : out.LocalWithRoom);
 }
 
-auto LoadAwarePolicy::cost(const SubsetUpstream &it, TimePoint now) -> double {
+auto LoadAwarePolicy::expectedTime(const SubsetUpstream &it,
+                                   TimePoint now) const -> ExactTime {
   const auto &u = *it.Upstream;
-  const auto response =
-      static_cast<double>(Load.limits().responseTime(u, now).count());
+  const ExactTime response = Load.limits().responseTime(u, now);
   // The other senders are assumed to have as many requests in progress.
   const auto waiting = Load.limits().inProgress(u, now) * it.Senders /
                        static_cast<double>(u.Record.Slots);
-  const auto penalty =
-      it.IsRemote ? static_cast<double>(Options.RemotePenalty.count()) : 0;
-  return (response * (1 + waiting) + penalty) *
-         (1 + Options.CostJitter * Random.unit());
+  const auto penalty = it.IsRemote ? Options.RemotePenalty : Duration::zero();
+  return response * (1 + waiting) + penalty;
 }
 
 auto LoadAwarePolicy::decide(const Choice &c, bool mayTurnAway) const
--- a/src/edge/load/load_aware_policy.h
+++ b/src/edge/load/load_aware_policy.h
@@ -32,6 +32,33 @@
   double CostJitter = 0.25;
 };
 
+/// How an upstream stands in the decision under pressure.
+struct PreviewedUpstream {
+  const UpstreamLifetime *Upstream = nullptr;
+  /// This instance uses it under pressure.
+  bool IsUsed = false;
+  /// It is kept for routes that are more urgent than the one asked for.
+  bool IsKept = false;
+  /// Expected response time with penalty and without jitter, by the formula
+  /// for pressure; the shortest if the upstream is compared more than once.
+  ExactTime Expected{};
+};
+
+/// What LoadAwarePolicy::pick() would do with an opening now.
+struct PlacementPreview {
+  /// PickReason::Full if the opening would be turned away.
+  Pick Chosen;
+  bool IsUnderPressure = false;
+  /// Picker decides: there is no pressure, or none of the upstreams that the
+  /// route may use under pressure can take the flow.
+  bool IsPickers = true;
+  /// Share of the upstreams that are kept for more urgent routes.
+  double ReservedShare = 0;
+  /// The upstreams that this instance uses under pressure, and all others of
+  /// its data centre that may take new flows, each once.
+  std::vector<PreviewedUpstream> Upstreams;
+};
+
 class LoadAwarePolicy final : public PlacementPolicy {
 public:
   /// All references must outlive the policy.
@@ -47,6 +74,13 @@
     Base.onRetransmitted(u, now);
   }
 
+  /// What pick() would do with a first opening of \p route if it drew
+  /// \p service, one of its services, and all random factors were equal.
+  /// Accounts for nothing and draws no random number. Where Picker decides, it
+  /// may go on to another service of the route, which is not considered.
+  auto preview(const RouteRecord &route, ServiceId service, TimePoint now) const
+      -> PlacementPreview;
+
   auto parts() const -> const LoadParts & { return Options.Parts; }
 
 private:
@@ -62,14 +96,40 @@
     Candidate LocalWithRoom;
     Candidate Remote;
     Candidate RemoteWithRoom;
+
+    auto isEmpty() const -> bool {
+      return Local.Upstream == nullptr && Remote.Upstream == nullptr;
+    }
+  };
+
+  /// Shares of the upstreams, by position.
+  struct ReservedShares {
+    /// Kept from the route that is decided on.
+    double Kept = 0;
+    /// Kept from the least urgent route.
+    double Spared = 0;
   };
 
+  auto isUnderPressure(ServiceId service) const -> bool {
+    return Options.Parts.Limits && Load.isUnderPressure(service);
+  }
   auto isUnderPressure(const RouteRecord &route) const -> bool;
-  auto choose(const RouteRecord &route, ServiceId service, TimePoint now)
+  auto mayTurnAway(const RouteRecord &route, ServiceId service,
+                   TimePoint now) const -> bool;
+  auto reservedShares(const RouteRecord &route, ServiceId service,
+                      TimePoint now) const -> ReservedShares;
+  /// Calls \p f with the upstreams that this instance uses under pressure.
+  template <typename F>
+  static auto visitUsed(const ServiceSubset &subset, const ReservedShares &r,
+                        F f) -> void;
+  auto choose(const ServiceSubset &subset, const ReservedShares &r,
+              ServiceId service, RandomSource &random, TimePoint now) const
       -> Choice;
-  auto consider(const SubsetUpstream &it, ServiceId service, TimePoint now,
-                Choice &out) -> void;
-  auto cost(const SubsetUpstream &it, TimePoint now) -> double;
+  auto consider(const SubsetUpstream &it, ServiceId service,
+                RandomSource &random, TimePoint now, Choice &out) const -> void;
+  auto expectedTime(const SubsetUpstream &it, TimePoint now) const -> ExactTime;
+  auto previewUpstreams(const ServiceSubset &subset, const ReservedShares &r,
+                        TimePoint now) const -> std::vector<PreviewedUpstream>;
   /// The upstream that the flow goes to; null to turn it away.
   auto decide(const Choice &c, bool mayTurnAway) const
       -> const UpstreamLifetime *;
--- a/src/edge/load/upstream_subsets.cpp
+++ b/src/edge/load/upstream_subsets.cpp
@@ -49,14 +49,24 @@
 auto UpstreamSubsets::of(ServiceId service, TimePoint now)
     -> const ServiceSubset & {
   auto &c = Cache[raw(service)];
-  const auto isStale = c.MadeAt == TimePoint{} ||
-                       c.Revision != Directory.serviceRevision() ||
-                       now - c.MadeAt > Options.MaxAge;
-  if (isStale)
+  if (isStale(c, now))
     c = {make(service, now), Directory.serviceRevision(), now};
   return c.Subset;
 }
 
+auto UpstreamSubsets::preview(ServiceId service, TimePoint now) const
+    -> ServiceSubset {
+  const auto it = Cache.find(raw(service));
+  return it == Cache.end() || isStale(it->second, now) ? make(service, now)
+                                                       : it->second.Subset;
+}
+
+auto UpstreamSubsets::isStale(const CachedSubset &c, TimePoint now) const
+    -> bool {
+  return c.MadeAt == TimePoint{} || c.Revision != Directory.serviceRevision() ||
+         now - c.MadeAt > Options.MaxAge;
+}
+
 auto UpstreamSubsets::make(ServiceId service, TimePoint now) const
     -> ServiceSubset {
   std::map<DataCentreId, Upstreams> byDataCentre;
--- a/src/edge/load/upstream_subsets.h
+++ b/src/edge/load/upstream_subsets.h
@@ -73,6 +73,9 @@
   /// The upstreams of \p service that may take new flows. The result is valid
   /// until the next call, and while the directory is not changed.
   auto of(ServiceId service, TimePoint now) -> const ServiceSubset &;
+  /// What of() would return, without making the lists of \p service anew for
+  /// later calls.
+  auto preview(ServiceId service, TimePoint now) const -> ServiceSubset;
 
 private:
   struct CachedSubset {
@@ -81,6 +84,7 @@
     TimePoint MadeAt;
   };
 
+  auto isStale(const CachedSubset &c, TimePoint now) const -> bool;
   auto make(ServiceId service, TimePoint now) const -> ServiceSubset;
   auto addDataCentre(const std::vector<const UpstreamLifetime *> &all,
                      bool isRemote, ServiceSubset &out) const -> void;
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -14,7 +14,7 @@
   const auto n = route.Services.size();
   Pick best;
   for (std::size_t i = 0; i < n && best.Upstream == nullptr; ++i)
-    best = pickOf(route.Services[(first + i) % n].Service, except, now);
+    best = pickOf(route.Services[(first + i) % n].Service, except, Random, now);
   if (best.Upstream == nullptr && except != nullptr &&
       Directory.mayOpenAsLastResort(*except, now))
     best = {except, PickReason::Avoided};
@@ -22,8 +22,13 @@
   return best;
 }
 
+auto Picker::preview(ServiceId service, TimePoint now) const -> Pick {
+  EqualFactors equal;
+  return pickOf(service, nullptr, equal, now);
+}
+
 auto Picker::pickOf(ServiceId service, const UpstreamLifetime *except,
-                    TimePoint now) -> Pick {
+                    RandomSource &random, TimePoint now) const -> Pick {
   Pick best;
   auto bestCost = 0.0;
   for (const auto *it : Directory.upstreamsOf(service)) {
@@ -32,7 +37,7 @@
     const auto reason = classify(*it, service, now);
     if (reason == PickReason::None || reason > best.Reason)
       continue;
-    const auto c = cost(*it, now);
+    const auto c = cost(*it, random, now);
     if (reason < best.Reason || c < bestCost) {
       best = {it, reason};
       bestCost = c;
@@ -54,12 +59,16 @@
   return Estimates.isAvoided(u, now) ? PickReason::Avoided : PickReason::Best;
 }
 
-auto Picker::cost(const UpstreamLifetime &u, TimePoint now) -> double {
-  auto expected = Estimates.expectedTime(u, now);
-  if (u.Record.DataCentre != Options.LocalDataCentre)
-    expected += Options.RemotePenalty;
-  return static_cast<double>(expected.count()) *
-         (1 + Options.CostJitter * Random.unit());
+auto Picker::expectedTime(const UpstreamLifetime &u, TimePoint now) const
+    -> ExactTime {
+  return Estimates.expectedTime(u, now) +
+         (isRemote(u) ? Options.RemotePenalty : Duration::zero());
+}
+
+auto Picker::cost(const UpstreamLifetime &u, RandomSource &random,
+                  TimePoint now) const -> double {
+  return expectedTime(u, now).count() *
+         (1 + Options.CostJitter * random.unit());
 }
 
 auto Picker::recordChoice(const Pick &p, TimePoint now) -> void {
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -49,13 +49,24 @@
   /// How good a choice \p u of \p service is; None if it must not be chosen.
   auto classify(const UpstreamLifetime &u, ServiceId service,
                 TimePoint now) const -> PickReason;
+  /// The upstream of \p service that pick() would choose if all random factors
+  /// were equal. Accounts for nothing and draws no random number.
+  auto preview(ServiceId service, TimePoint now) const -> Pick;
+  /// What pick() compares upstreams by, before the random factor.
+  auto expectedTime(const UpstreamLifetime &u, TimePoint now) const
+      -> ExactTime;
+  /// Whether \p u is in another data centre than this instance.
+  auto isRemote(const UpstreamLifetime &u) const -> bool {
+    return u.Record.DataCentre != Options.LocalDataCentre;
+  }
   /// Accounts for \p p as if pick() had returned it.
   auto recordChoice(const Pick &p, TimePoint now) -> void;
 
 private:
-  auto pickOf(ServiceId service, const UpstreamLifetime *except, TimePoint now)
-      -> Pick;
-  auto cost(const UpstreamLifetime &u, TimePoint now) -> double;
+  auto pickOf(ServiceId service, const UpstreamLifetime *except,
+              RandomSource &random, TimePoint now) const -> Pick;
+  auto cost(const UpstreamLifetime &u, RandomSource &random,
+            TimePoint now) const -> double;
 
   const UpstreamDirectory &Directory;
   UpstreamEstimates &Estimates;
--- a/src/edge/placement_policy.h
+++ b/src/edge/placement_policy.h
@@ -39,6 +39,17 @@
   bool IsRetransmission = false;
 };
 
+/// Gives the lowest number at each draw, so that the random factors of all
+/// upstreams are equal. Safe to use from any thread.
+class EqualFactors final : public RandomSource {
+public:
+  auto next() -> std::uint64_t override { return 0; }
+};
+
+/// An expected response time, not rounded to a whole Duration, so that costs
+/// compare exactly.
+using ExactTime = std::chrono::duration<double, Duration::period>;
+
 /// Index of one of the services of \p route, drawn at random by weight.
 auto chooseService(const RouteRecord &route, RandomSource &random)
     -> std::size_t;
--- a/tools/boragectl.cpp
+++ b/tools/boragectl.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The operators' command-line tool. It calls the administration API of any
-/// entry instance, which docs/API.md describes. Exit statuses: 0 done, 1
+/// entry instance, which docs/API.md describes. `dump` and `explain` ask the
+/// one process that they name. Exit statuses: 0 done, 1
 /// refused or failed, 2 usage error, 3 the outcome of a change is unknown or
 /// the change is not in force yet, 4 no instance could be reached.
 #include "net/http_client.h"
@@ -40,6 +41,9 @@
   std::vector<Endpoint> Servers;
   std::string Token;
   std::string ChangeId;
+  /// The instance and the route that `explain` asks for; empty if not given.
+  std::string Instance;
+  std::string Route;
   Duration Wait{};
   bool IsJson = false;
   bool IsConfirmed = false;
@@ -258,6 +262,29 @@
   return finish(a, httpCallAndWait(e, {"GET", "/state", "", {}}, CallTimeout));
 }
 
+/// The address that \p option gives as \p s.
+auto readEndpoint(const std::string &option, const std::string &s) -> Endpoint {
+  Endpoint e;
+  if (s.empty())
+    throw UsageError("explain needs --" + option + " ADDRESS:PORT");
+  if (!parseEndpoint(s, e))
+    throw UsageError("--" + option + " '" + s + "' is not ADDRESS:PORT");
+  return e;
+}
+
+auto runExplain(const Arguments &a) -> int {
+  const auto instance = readEndpoint("instance", a.Instance);
+  const auto route = readEndpoint("route", a.Route);
+  auto r = httpCallAndWait(instance,
+                           {"GET", "/explain?route=" + toString(route), "", {}},
+                           CallTimeout);
+  if (!r.ok())
+    r = absl::Status(r.status().code(), "no answer from instance " +
+                                            toString(instance) + ": " +
+                                            std::string(r.status().message()));
+  return finish(a, r);
+}
+
 const char *const ConfigurationPath = "/v1/configuration";
 const char *const SheetPath = "/v1/sheet";
 const char *const MembersPath = "/v1/members";
@@ -286,6 +313,8 @@
     Command{"remove", 1, runUpstream, "UPSTREAM: remove it"},
     Command{"clear", 1, runUpstream, "UPSTREAM: drop the urgent entry"},
     Command{"dump", 1, runDump, "ADDRESS:PORT: state of any process"},
+    Command{"explain", 0, runExplain,
+            "where a new request would go (--instance, --route)"},
 };
 
 auto addOptions(cxxopts::Options &o) -> void {
@@ -299,6 +328,9 @@
                             value<std::string>())(
       "wait", "wait this long until in force everywhere: 500ms, 10s, 1min",
       value<std::string>())("confirm", "accept a sheet that removes much")(
+      "instance", "HTTP address of the edge instance that explains",
+      value<std::string>())("route", "address of the route to explain",
+                            value<std::string>())(
       "json", "print what the instance answers")(
       "service", "of an added upstream", value<std::string>())(
       "data-centre", "of an added upstream", value<std::string>())(
@@ -357,6 +389,10 @@
   a.Token = readToken(args);
   if (args.count("change-id") != 0)
     a.ChangeId = args["change-id"].as<std::string>();
+  if (args.count("instance") != 0)
+    a.Instance = args["instance"].as<std::string>();
+  if (args.count("route") != 0)
+    a.Route = args["route"].as<std::string>();
   if (args.count("wait") != 0)
     a.Wait = readWait(args["wait"].as<std::string>());
   a.IsJson = args.count("json") != 0;
