--- a/src/edge/load/load_control.h
+++ b/src/edge/load/load_control.h
@@ -24,9 +24,10 @@
   double LateShare = 0.5;
   /// Time in which a request's weight in the demand of routes decays to 1/e.
   Duration DemandWindow = std::chrono::seconds(2);
-  /// Upstreams kept for urgent routes, relative to what their requests need.
+  /// Upstreams reserved for urgent routes, relative to what their requests
+  /// need.
   double ReservedHeadroom = 1.3;
-  /// Never more than this share of the upstreams is kept for urgent routes.
+  /// Never more than this share of the upstreams is reserved for urgent routes.
   double MaxReservedShare = 0.5;
   /// Refusals are rare if they are fewer than this share of the answers.
   double RareRefusalShare = 0.05;
--- a/src/edge/load/load_parts.h
+++ b/src/edge/load/load_parts.h
@@ -10,7 +10,7 @@
   /// Learned limits and response times decide where flows go under pressure.
   /// Without it the other parts have no effect.
   bool Limits = true;
-  /// Less urgent flows are turned away, and upstreams kept for urgent ones.
+  /// Less urgent flows are turned away, and upstreams reserved for urgent ones.
   bool Admission = true;
   /// Flows go to another data centre when it answers sooner. Without it, only
   /// if the local one has no upstream.
--- a/src/edge/load/upstream_subsets.h
+++ b/src/edge/load/upstream_subsets.h
@@ -11,7 +11,7 @@
 /// for a while, some upstreams have a sender more or less.
 ///
 /// Upstreams also have a position in their data centre, which all instances
-/// agree on; the first ones can be kept for urgent routes.
+/// agree on; the first ones can be reserved for urgent routes.
 ///
 /// Free of I/O; not thread-safe.
 #ifndef BORAGEBRIDGE_EDGE_LOAD_UPSTREAM_SUBSETS_H
@@ -76,6 +76,9 @@
   /// The upstreams of \p service that may take new flows. The result is valid
   /// until the next call, and while the directory is not changed.
   auto of(ServiceId service, TimePoint now) -> const ServiceSubset &;
+  /// What of() would return, without making the lists of \p service anew for
+  /// later calls.
+  auto preview(ServiceId service, TimePoint now) const -> ServiceSubset;
 
 private:
   struct CachedSubset {
@@ -84,6 +87,7 @@
     TimePoint MadeAt;
   };
 
+  auto isStale(const CachedSubset &c, TimePoint now) const -> bool;
   auto make(ServiceId service, TimePoint now) const -> ServiceSubset;
   /// This instance's place among the instances that send flows to the upstreams
   /// of a data centre, and their number, which includes it.
