Turn nothing away while upstreams keep up

Cause: limits that lateness had lowered turned less urgent flows away although the upstreams refused hardly anything.

Change: an opening is turned away only if upstreams refused, or answered after the target, at least one request in twenty. The same tells an instance that has more than its share of the callers from one whose upstreams are full.

--- a/src/edge/load/load_aware_policy.cpp
+++ b/src/edge/load/load_aware_policy.cpp
@@ -13,7 +13,8 @@
 auto LoadAwarePolicy::mayTurnAway(const RouteRecord &route, ServiceId service,
                                   TimePoint now) const -> bool {
   return Options.Parts.Admission &&
-         route.Priority >= Load.leastUrgentPriority(service, now);
+         route.Priority >= Load.leastUrgentPriority(service, now) &&
+         !Load.areUpstreamsKeepingUp(service, now);
 }
 
 auto LoadAwarePolicy::pick(const Opening &o, TimePoint now) -> Pick {
@@ -131,9 +132,9 @@
   // Other local upstreams, if those of the subset are all reserved, or full
   // while the upstreams refuse hardly anything: then this instance has more
   // than its share of the callers.
-  const auto needsMore =
-      out.Local.Upstream == nullptr || (out.LocalWithRoom.Upstream == nullptr &&
-                                        Load.areRefusalsRare(service, now));
+  const auto needsMore = out.Local.Upstream == nullptr ||
+                         (out.LocalWithRoom.Upstream == nullptr &&
+                          Load.areUpstreamsKeepingUp(service, now));
   if (needsMore)
     considerMore(subset, r, service, random, now, out);
   return out;
--- a/src/edge/load/load_aware_policy.h
+++ b/src/edge/load/load_aware_policy.h
@@ -5,10 +5,10 @@
 /// Answers two kinds of load:
 ///  - More requests than the upstreams can handle. The least urgent routes are
 ///    turned away first, at once and before anything has run, when none of the
-///    upstreams that they may use has room. Some upstreams are reserved for
-///    more urgent routes, because requests on flows that are open already
-///    cannot be turned away one by one. Urgent routes are never turned away
-///    while less urgent ones are served.
+///    upstreams that they may use has room and the upstreams do not keep up.
+///    Some upstreams are reserved for more urgent routes, because requests on
+///    flows that are open already cannot be turned away one by one. Urgent
+///    routes are never turned away while less urgent ones are served.
 ///  - Upstreams that are slow or full while others are not, in this data centre
 ///    or in another. A flow goes to the upstream with the shortest expected
 ///    response time; another data centre has to be faster by RemotePenalty.
--- a/src/edge/load/load_control.cpp
+++ b/src/edge/load/load_control.cpp
@@ -57,6 +57,8 @@
   ++Counts.Answered;
   if (late) {
     ++Counts.Late;
+    if (now - sentAt > r.ResponseTimeTarget)
+      add(load.Unserved, now);
     load.State.onMissed(now);
   } else {
     load.State.onMet(now);
@@ -82,7 +84,7 @@
   Limits.onRefused(u, sentAt, now);
   ++Counts.Refused;
   auto &load = loadOf(u.Record.Service);
-  add(load.Refused, now);
+  add(load.Unserved, now);
   load.State.onMissed(now);
   noteChange(u.Record.Service, load);
 }
@@ -107,11 +109,12 @@
   return load != nullptr && load->State.isOn();
 }
 
-auto LoadControl::areRefusalsRare(ServiceId s, TimePoint now) const -> bool {
+auto LoadControl::areUpstreamsKeepingUp(ServiceId s, TimePoint now) const
+    -> bool {
   const auto *load = find(s);
   return load != nullptr &&
-         valueOf(load->Refused, now) <
-             Options.RareRefusalShare * valueOf(load->Answered, now);
+         valueOf(load->Unserved, now) <
+             Options.KeepingUpShare * valueOf(load->Answered, now);
 }
 
 auto LoadControl::missedShare(ServiceId s) const -> double {
--- a/src/edge/load/load_control.h
+++ b/src/edge/load/load_control.h
@@ -29,8 +29,9 @@
   double ReservedHeadroom = 1.3;
   /// Never more than this share of the upstreams is reserved for urgent routes.
   double MaxReservedShare = 0.5;
-  /// Refusals are rare if they are fewer than this share of the answers.
-  double RareRefusalShare = 0.05;
+  /// Upstreams keep up if the requests that they refused, or answered after the
+  /// target, are fewer than this share of the answers.
+  double KeepingUpShare = 0.05;
 };
 
 /// Requests and openings of a service since the start of the process.
@@ -80,9 +81,9 @@
   auto tick(TimePoint now) -> void;
 
   auto isUnderPressure(ServiceId s) const -> bool;
-  /// Whether hardly any of the recent requests that were sent to upstreams of
-  /// \p s were refused there.
-  auto areRefusalsRare(ServiceId s, TimePoint now) const -> bool;
+  /// Whether the upstreams of \p s refused hardly any of the recent requests,
+  /// and answered hardly any after its target.
+  auto areUpstreamsKeepingUp(ServiceId s, TimePoint now) const -> bool;
   /// Share of the recent requests for \p s that were refused, turned away by
   /// this instance, or answered late.
   auto missedShare(ServiceId s) const -> double;
@@ -110,7 +111,8 @@
   struct ServiceLoad {
     Pressure State;
     DecayingCount Answered;
-    DecayingCount Refused;
+    /// Refused, or answered after the target of the route.
+    DecayingCount Unserved;
     /// Requests sent, by priority.
     std::map<unsigned, DecayingCount> SentByPriority;
     /// Flows turned away, by priority.
