--- a/soak/soak.py
+++ b/soak/soak.py
@@ -26,9 +26,15 @@
 import world as world_module
 from world import COLD_LIMIT, DRAIN_S, RECOVERY_S, WITHDRAW_S, ip_to_int
 
+BURST_CALLERS = 60
+URGENT_CALLERS = 4
+MIN_BURST_REQUESTS = 50
 MUTATIONS = ("none", "reset", "drain", "stale", "cold")
 SERVICES = {"booking": (ip_to_int("198.18.0.1"), 443),
             "uploads": (ip_to_int("198.18.0.2"), 8443)}
+# A second, less urgent route to the service "booking".
+PRICES = (ip_to_int("198.18.0.3"), 443)
+URGENT, LESS_URGENT = 1, 2
 ZONES = ("north", "south")
 
 
@@ -104,6 +110,7 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.restores = random.Random(f"restores {options.seed}")
+        self.bursts = random.Random(f"bursts {options.seed}")
         # Each run uses its own ports and loopback networks.
         self.net = options.net if options.net else 1 + os.getpid() % 200
         self.port = 21000 + 10 * self.net
@@ -152,7 +159,10 @@
         if instance is None or flow is None:
             return
         where = f"{upstream.name} from {instance.name}"
-        if (packet.dst, packet.dport) != SERVICES[upstream.service]:
+        allowed = [SERVICES[upstream.service]]
+        if upstream.service == "booking":
+            allowed.append(PRICES)
+        if (packet.dst, packet.dport) not in allowed:
             self.invariants.report("wrong_service", where)
         self.check_cold(upstream, where)
         if not instance.is_unaffected():
@@ -212,11 +222,15 @@
 
     def put_configuration(self):
         self.version += self.random.randint(1, 5)
+        all_routes = [(name, name, address, URGENT)
+                      for name, address in SERVICES.items()]
+        all_routes.append(("prices", "booking", PRICES, LESS_URGENT))
         routes = [{"name": name, "host": f"198.18.0.{address & 255}",
                    "pathPrefix": f"/{port}/", "kind": "idempotent",
-                   "service": name, "timeoutMs": 2000, "latencyTargetMs": 100,
-                   "priority": 1, "maxAttempts": 1}
-                  for name, (address, port) in SERVICES.items()]
+                   "service": service, "timeoutMs": 2000,
+                   "latencyTargetMs": 300, "priority": priority,
+                   "maxAttempts": 1}
+                  for name, service, (address, port), priority in all_routes]
         services = [{"name": name, "healthPath": "/health", "maxConns": 2000,
                      "warmupS": 2.0, "warmupPerS": 0.0} for name in SERVICES]
         self.store.put("config", "main", {
@@ -242,6 +256,40 @@
                                   0.1 if is_long else 0.01)
             await asyncio.sleep(0.05)
 
+    async def burst_repeatedly(self):
+        """Bursts of less urgent requests, several times what the upstreams of
+        "booking" can handle, with urgent ones among them."""
+        while True:
+            await asyncio.sleep(self.bursts.uniform(2, 5))
+            self.count("burst")
+            end = time.monotonic() + self.bursts.uniform(2, 4)
+            await asyncio.gather(
+                *(self.ask_until(end, PRICES, "prices")
+                  for _ in range(BURST_CALLERS)),
+                *(self.ask_until(end, SERVICES["booking"], "urgent")
+                  for _ in range(URGENT_CALLERS)))
+
+    async def ask_until(self, end, route, name):
+        """Asks for one answer after the other, in a flow of its own each."""
+        while time.monotonic() < end:
+            caller = self.bursts.choice(self.callers)
+            label = f"burst_{name}_"
+            self.count(label + "asked")
+            await caller.run_flow(route, 1, 0, label)
+            await asyncio.sleep(0.02)
+
+    def check_bursts(self):
+        """Urgent requests are lost at most half as often as the others."""
+        asked, served = (
+            {name: self.counts[f"burst_{name}_{what}"]
+             for name in ("urgent", "prices")}
+            for what in ("asked", "answered"))
+        if min(asked.values()) < MIN_BURST_REQUESTS:
+            return
+        lost = {name: 1 - served[name] / asked[name] for name in asked}
+        if lost["urgent"] > lost["prices"] / 2:
+            self.invariants.report("urgent_starved", str(lost))
+
     async def watch_readiness(self):
         while True:
             for it in self.instances:
@@ -463,6 +511,8 @@
             self.spawn(self.inject())
             if self.options.restores:
                 self.spawn(self.restore_repeatedly())
+            if self.options.bursts:
+                self.spawn(self.burst_repeatedly())
         else:
             self.spawn(self.inject_deliberate_fault())
         await asyncio.sleep(self.options.seconds)
@@ -476,6 +526,7 @@
                 it.process.send_signal(signal.SIGCONT)
                 it.process.kill()
                 await it.process.wait()
+        self.check_bursts()
         answered = self.counts["opened"]
         tried = answered + self.counts["not_opened"]
         if tried == 0 or answered < tried / 2:
@@ -491,6 +542,8 @@
     parser.add_argument("--restores", action="store_true",
                         help="the store comes back from earlier copies; "
                         "rules are checked for less of the time")
+    parser.add_argument("--bursts", action="store_true",
+                        help="bursts of less urgent requests besides")
     parser.add_argument("--instances", type=int, default=4)
     parser.add_argument("--upstreams", type=int, default=12)
     parser.add_argument("--callers", type=int, default=30)
--- a/soak/world.py
+++ b/soak/world.py
@@ -13,6 +13,14 @@
 COLD_LIMIT = 5
 RETRANSMIT_AT_S = (0.2, 0.6)
 EXCHANGE_TIMEOUT_S = 1.4
+# What an upstream works on at once, how many requests it queues, and how long
+# it works on one.
+SLOTS = 2
+QUEUE_LIMIT = 8
+WORK_S = 0.03
+# An answer that refuses a request is short; every other one is longer.
+ANSWER = b"a" * 300
+REFUSAL = b"r" * 150
 
 
 def ip_to_int(address):
@@ -32,6 +40,16 @@
         print(line, flush=True)
 
 
+class ServedFlow:
+    """A flow at its upstream."""
+
+    def __init__(self, expected):
+        self.seq = random.getrandbits(31)
+        self.expected = expected
+        self.is_open = False
+        self.last_answer = None
+
+
 class Upstream(asyncio.DatagramProtocol):
     """One lifetime of an upstream."""
 
@@ -49,6 +67,8 @@
         self.stopped_since = None
         self.is_registered = True
         self.sequence = 0
+        self.active = 0
+        self.queue = collections.deque()
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -96,10 +116,11 @@
     def on_opening(self, packet, via):
         key = packet.flow()
         if key not in self.flows:
-            self.flows[key] = [random.getrandbits(31), packet.seq + 1]
+            self.flows[key] = ServedFlow(packet.seq + 1)
             self.world.check_opening(self, packet, via)
-        seq, expected = self.flows[key]
-        self.reply(packet, wire.SYN | wire.ACK, seq, expected)
+        flow = self.flows[key]
+        if not flow.is_open:
+            self.reply(packet, wire.SYN | wire.ACK, flow.seq, flow.expected)
 
     def on_packet(self, packet):
         key = packet.flow()
@@ -107,18 +128,49 @@
             if not packet.flags & wire.RST and key not in self.closed:
                 self.reply(packet, wire.RST, packet.ack, packet.seq)
             return
-        state = self.flows[key]
+        flow = self.flows[key]
+        if not flow.is_open:
+            flow.is_open = True
+            flow.seq += 1
         caller = self.world.caller_of(packet)
         if caller:
             caller.record_upstream(packet.sport, self)
-        if packet.data and packet.seq == state[1]:
-            state[1] += len(packet.data)
         if packet.data:
-            self.reply(packet, wire.ACK, state[0] + 1, state[1], b"answer")
+            self.on_data(flow, packet)
         if packet.flags & wire.FIN:
             self.closed.add(key)
             del self.flows[key]
 
+    def on_data(self, flow, packet):
+        if packet.seq == flow.expected:
+            flow.expected += len(packet.data)
+            flow.last_answer = None
+            if len(self.queue) >= QUEUE_LIMIT:
+                self.world.count("refused_by_upstream")
+                self.answer(flow, packet, REFUSAL)
+            else:
+                self.queue.append((flow, packet))
+                self.start_queued()
+        elif flow.last_answer:
+            self.reply(packet, wire.ACK, *flow.last_answer)
+
+    def start_queued(self):
+        while self.active < SLOTS and self.queue:
+            self.active += 1
+            asyncio.get_running_loop().call_later(WORK_S, self.finish,
+                                                  *self.queue.popleft())
+
+    def finish(self, flow, packet):
+        self.active -= 1
+        if not (self.stopped_since or self.unresponsive_since):
+            self.answer(flow, packet, ANSWER)
+        self.start_queued()
+
+    def answer(self, flow, packet, data):
+        flow.last_answer = (flow.seq, flow.expected, data)
+        self.reply(packet, wire.ACK, *flow.last_answer)
+        flow.seq += len(data)
+
     def reply(self, packet, flags, seq, ack, data=b""):
         answer = wire.Packet(flags, packet.dst, packet.dport, packet.src,
                              packet.sport, seq & 0xFFFFFFFF, ack, packet.tag,
@@ -133,6 +185,7 @@
         self.started = time.monotonic()
         self.answered = asyncio.Event()
         self.reset = False
+        self.refused = False
         self.upstream = None
         self.next_seq = 1001
         self.ack = 0
@@ -180,6 +233,7 @@
             flow.tag = packet.tag
             is_next = not flow.is_open or packet.data
             flow.ack = packet.seq + max(1, len(packet.data))
+            flow.refused = packet.data == REFUSAL
             flow.is_open = True
             if not is_next:
                 return
@@ -207,23 +261,31 @@
                 continue
         return False
 
-    async def run_flow(self, service, requests, pause_s):
-        """Opens a flow, sends requests on it, and counts the results."""
+    async def run_flow(self, service, requests, pause_s, label=""):
+        """Opens a flow, sends requests on it, and counts the results under
+        names that begin with label.
+
+        Returns how many of the requests were answered."""
+        answered = 0
         sport = self.next_port = 1024 + (self.next_port - 1023) % 60000
         flow = self.flows[sport] = Flow(service)
         succeeded = await self.exchange(
             lambda transmission: self.send(sport, flow, wire.SYN, 1000,
                                            transmission), flow)
-        self.world.count("opened" if succeeded else "not_opened")
+        self.world.count(label + ("opened" if succeeded else "not_opened"))
         for _ in range(requests if succeeded else 0):
             if not await self.exchange(
                     lambda _: self.send(sport, flow, wire.ACK, flow.next_seq,
                                         flow.ack, b"request"), flow):
-                self.world.count("broken")
+                self.world.count(label + "broken")
                 break
             flow.next_seq += len(b"request")
-            self.world.count("answered")
+            if flow.refused:
+                break
+            answered += 1
+            self.world.count(label + "answered")
             await asyncio.sleep(pause_s)
         self.send(sport, flow, wire.FIN | wire.ACK, flow.next_seq, flow.ack)
         await asyncio.sleep(0.05)
         del self.flows[sport]
+        return answered
