Reserve more upstreams for urgent routes than they need at least

Cause: with 30% more than needed, reserved upstreams run at 77% of what they can handle, and requests of uneven length queue there. Change: 60% more.

--- a/src/edge/load/load_control.h
+++ b/src/edge/load/load_control.h
@@ -26,7 +26,7 @@
   Duration DemandWindow = std::chrono::seconds(2);
   /// Upstreams reserved for urgent routes, relative to what their requests
   /// need.
-  double ReservedHeadroom = 1.3;
+  double ReservedHeadroom = 1.6;
   /// Never more than this share of the upstreams is reserved for urgent routes.
   double MaxReservedShare = 0.5;
   /// Upstreams keep up if the requests that they refused, or answered after the
