--- a/src/edge/edge_adapter.h
+++ b/src/edge/edge_adapter.h
@@ -43,6 +43,10 @@
   /// The longest answer, in bytes, that an upstream refuses a request with;
   /// every other answer is longer.
   virtual auto maxRefusalBytes() const -> std::uint32_t = 0;
+  /// How long a caller may wait before it acknowledges an answer that fits into
+  /// one packet, and the size of such an answer, in bytes.
+  virtual auto maxAckDelay() const -> Duration = 0;
+  virtual auto singlePacketBytes() const -> std::uint32_t = 0;
   /// The address that packets for \p caller are sent to.
   virtual auto callerAddress(const Endpoint &caller) const -> Endpoint = 0;
 };
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -207,7 +207,10 @@
   else if (p.Length > 0)
     Load->onAnsweredBefore(*route, u, e.RequestAt, now);
   else
-    Load->onAnswered(*route, u, e.RequestAt, now);
+    Load->onAnswered(*route, u, e.RequestAt, now,
+                     !p.Finishes && bytes <= Options.SinglePacketBytes
+                         ? Options.MaxAckDelay
+                         : Duration::zero());
   return isRefused;
 }
 
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -87,6 +87,10 @@
   /// An answer of at most this many bytes refuses the request; 0: refusals are
   /// not recognised.
   std::uint32_t MaxRefusalBytes = 0;
+  /// A caller may wait this long before it acknowledges an answer of at most
+  /// SinglePacketBytes.
+  Duration MaxAckDelay = Duration::zero();
+  std::uint32_t SinglePacketBytes = 0;
 };
 
 class Forwarder {
--- a/src/edge/load/concurrency_limits.cpp
+++ b/src/edge/load/concurrency_limits.cpp
@@ -91,20 +91,22 @@
 }
 
 auto ConcurrencyLimits::onAnswered(const UpstreamLifetime &u, TimePoint sentAt,
-                                   bool isLate, TimePoint now) -> void {
+                                   Duration took, bool isSlow, TimePoint now)
+    -> void {
   const auto expected = Seconds(responseTime(u, now)).count();
   const auto isLimited = inProgress(u, now) + 1 > limit(u);
   auto &e = entry(u);
   finish(e, sentAt, now);
-  const auto took = Seconds(now - sentAt).count();
-  e.ResponseSeconds = expected + Options.ResponseSmoothing * (took - expected);
+  const auto seconds = Seconds(took).count();
+  e.ResponseSeconds =
+      expected + Options.ResponseSmoothing * (seconds - expected);
   e.AnsweredAt = now;
-  auto &mean = MeanResponseSeconds.try_emplace(raw(u.Record.Service), took)
+  auto &mean = MeanResponseSeconds.try_emplace(raw(u.Record.Service), seconds)
                    .first->second;
   // The mean of all upstreams moves more slowly than that of one.
-  mean += Options.ResponseSmoothing / 4 * (took - mean);
-  if (isLate)
-    decrease(e, Options.LatenessDecrease, now);
+  mean += Options.ResponseSmoothing / 4 * (seconds - mean);
+  if (isSlow)
+    decrease(e, Options.SlownessDecrease, now);
   else if (isLimited)
     e.Limit = std::min(Options.MaxLimit, e.Limit + Options.Increase / e.Limit);
 }
--- a/src/edge/load/concurrency_limits.h
+++ b/src/edge/load/concurrency_limits.h
@@ -3,10 +3,11 @@
 ///
 /// Each upstream has a limit of requests in progress, learned from how it
 /// answers. The limit falls at once when the upstream refuses a request or
-/// answers late, and rises slowly while it answers in time and the limit is
+/// answers slowly, and rises slowly while it answers in time and the limit is
 /// reached. The slots that the upstream registered are only the first guess,
-/// with which each lifetime of an upstream starts. The response time of an
-/// upstream that is not used drifts to the mean of all; its limit stays.
+/// with which each lifetime of an upstream starts.
+/// The response time of an upstream that is not used drifts to the mean of all;
+/// its limit stays.
 ///
 /// Requests whose answers are never seen, for example because another instance
 /// forwards the rest of their flow, stop counting after a while.
@@ -33,9 +34,9 @@
   /// The limit rises by this after as many answers as the limit allows
   /// requests.
   double Increase = 0.15;
-  /// The limit is multiplied by these when a request was refused or late.
+  /// The limit is multiplied by these when a request was refused or slow.
   double RefusalDecrease = 0.7;
-  double LatenessDecrease = 0.9;
+  double SlownessDecrease = 0.9;
   /// The limit falls at most once within this time, so that requests that were
   /// in progress together count once.
   Duration DecreaseInterval = std::chrono::milliseconds(100);
@@ -52,10 +53,10 @@
 
   /// A request was sent to \p u.
   auto onSent(const UpstreamLifetime &u, TimePoint now) -> void;
-  /// \p u answered a request that was sent at \p sentAt. \p isLate: later than
-  /// callers of its route want.
-  auto onAnswered(const UpstreamLifetime &u, TimePoint sentAt, bool isLate,
-                  TimePoint now) -> void;
+  /// \p u answered a request that was sent at \p sentAt, after \p took. \p
+  /// isSlow: callers of its route want answers sooner.
+  auto onAnswered(const UpstreamLifetime &u, TimePoint sentAt, Duration took,
+                  bool isSlow, TimePoint now) -> void;
   /// \p u refused a request that was sent at \p sentAt.
   auto onRefused(const UpstreamLifetime &u, TimePoint sentAt, TimePoint now)
       -> void;
--- a/src/edge/load/load_control.cpp
+++ b/src/edge/load/load_control.cpp
@@ -42,23 +42,24 @@
   add(loadOf(u.Record.Service).SentByPriority[r.Priority], now);
 }
 
-auto LoadControl::isLate(const RouteRecord &r, TimePoint sentAt,
-                         TimePoint now) const -> bool {
+auto LoadControl::exceedsTarget(const RouteRecord &r, Duration took,
+                                double share) -> bool {
   return r.ResponseTimeTarget > Duration::zero() &&
-         now - sentAt > r.ResponseTimeTarget * Options.LateShare;
+         took > r.ResponseTimeTarget * share;
 }
 
 auto LoadControl::onAnswered(const RouteRecord &r, const UpstreamLifetime &u,
-                             TimePoint sentAt, TimePoint now) -> void {
-  const auto late = isLate(r, sentAt, now);
-  Limits.onAnswered(u, sentAt, late, now);
+                             TimePoint sentAt, TimePoint now, Duration ackDelay)
+    -> void {
+  const auto took = std::max(now - sentAt - ackDelay, Duration::zero());
+  Limits.onAnswered(u, sentAt, took, exceedsTarget(r, took, Options.SlowShare),
+                    now);
   auto &load = loadOf(u.Record.Service);
   add(load.Answered, now);
   ++Counts.Answered;
-  if (late) {
+  if (exceedsTarget(r, took)) {
     ++Counts.Late;
-    if (now - sentAt > r.ResponseTimeTarget)
-      add(load.Unserved, now);
+    add(load.Unserved, now);
     load.State.onMissed(now);
   } else {
     load.State.onMet(now);
@@ -70,7 +71,7 @@
                                    const UpstreamLifetime &u, TimePoint sentAt,
                                    TimePoint now) -> void {
   Limits.onEnded(u, sentAt, now);
-  if (isLate(r, sentAt, now))
+  if (exceedsTarget(r, now - sentAt))
     return;
   auto &load = loadOf(u.Record.Service);
   add(load.Answered, now);
--- a/src/edge/load/load_control.h
+++ b/src/edge/load/load_control.h
@@ -19,9 +19,10 @@
 struct LoadControlOptions {
   ConcurrencyLimitsOptions Limits;
   PressureOptions PressureThresholds;
-  /// An answer is late if it takes more than this share of the target of its
-  /// route. A caller whose first attempt fails needs time for a second one.
-  double LateShare = 0.5;
+  /// An answer is slow, and lowers the limit, if it takes more than this share
+  /// of the target of its route. A caller whose first attempt fails needs time
+  /// for a second one.
+  double SlowShare = 0.5;
   /// Time in which a request's weight in the demand of routes decays to 1/e.
   Duration DemandWindow = std::chrono::seconds(2);
   /// Upstreams reserved for urgent routes, relative to what their requests
@@ -37,7 +38,7 @@
 /// Requests and openings of a service since the start of the process.
 struct LoadCounts {
   std::uint64_t Answered = 0;
-  /// Answered requests that were late.
+  /// Answered requests that took longer than the target of their route.
   std::uint64_t Late = 0;
   /// Requests that an upstream refused.
   std::uint64_t Refused = 0;
@@ -53,9 +54,12 @@
   /// A request of a caller of \p r was sent to \p u.
   auto onSent(const RouteRecord &r, const UpstreamLifetime &u, TimePoint now)
       -> void;
-  /// \p u answered a request that was sent at \p sentAt.
+  /// \p u answered a request that was sent at \p sentAt. \p ackDelay is the
+  /// part of the time since then that the caller may have taken to acknowledge
+  /// the answer.
   auto onAnswered(const RouteRecord &r, const UpstreamLifetime &u,
-                  TimePoint sentAt, TimePoint now) -> void;
+                  TimePoint sentAt, TimePoint now,
+                  Duration ackDelay = Duration::zero()) -> void;
   /// \p u refused a request that was sent at \p sentAt.
   auto onRefused(const UpstreamLifetime &u, TimePoint sentAt, TimePoint now)
       -> void;
@@ -120,8 +124,9 @@
     bool WasUnderPressure = false;
   };
 
-  auto isLate(const RouteRecord &r, TimePoint sentAt, TimePoint now) const
-      -> bool;
+  /// Whether \p took is more than \p share of the target of \p r.
+  static auto exceedsTarget(const RouteRecord &r, Duration took,
+                            double share = 1) -> bool;
   auto valueOf(const DecayingCount &c, TimePoint now) const -> double;
   auto add(DecayingCount &c, TimePoint now) const -> void;
   auto loadOf(ServiceId s) -> ServiceLoad &;
--- a/src/edge/load/load_report.cpp
+++ b/src/edge/load/load_report.cpp
@@ -42,7 +42,7 @@
   set("edge_requests_answered_total", "Requests that upstreams answered",
       n.Answered);
   set("edge_requests_late_total",
-      "Answered requests that took over half of their route's target", n.Late);
+      "Answered requests that took longer than their route's target", n.Late);
   set("edge_requests_refused_total", "Requests that upstreams refused",
       n.Refused);
   set("edge_openings_turned_away_total",
