--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -485,6 +485,33 @@
   BOOST_TEST(inProgress() > 0.9);
 }
 
+// A caller may wait before it acknowledges an answer of one packet, but not if
+// it ends the flow, or if the answer is longer.
+BOOST_FIXTURE_TEST_CASE(DelayOfAnAcknowledgementIsNotResponseTime,
+                        RequestCountingFixture) {
+  Forwarder delayed(Directory, Estimates, Policy,
+                    {.MaxRefusalBytes = RefusalBytes,
+                     .MaxAckDelay = milliseconds(45),
+                     .SinglePacketBytes = 1200},
+                    &Load);
+  const auto &u = *Directory.find(tagOf("i-1", seconds(1000)));
+  const auto answer = [&](std::uint16_t port, std::uint32_t bytes, bool ends) {
+    delayed.decide(opening(port), now());
+    delayed.decide(data(port, u.Tag), now());
+    Time.advance(milliseconds(75));
+    auto p = acknowledgement(port, 1, 500 + bytes);
+    p.Finishes = ends;
+    delayed.decide(p, now());
+  };
+  answer(1, 1000, false);
+  BOOST_TEST((Load.limits().responseTime(u, now()) < milliseconds(31)));
+  answer(2, 1000, true);
+  const auto afterEnd = Load.limits().responseTime(u, now());
+  BOOST_TEST((afterEnd > milliseconds(35)));
+  answer(3, 2400, false);
+  BOOST_TEST((Load.limits().responseTime(u, now()) > afterEnd));
+}
+
 // A refusal comes sooner than any response, and would make a full upstream look
 // like a fast one.
 BOOST_FIXTURE_TEST_CASE(RefusalIsNoResponseTime, RequestCountingFixture) {
