--- a/soak/soak.py
+++ b/soak/soak.py
@@ -29,7 +29,7 @@
 BURST_CALLERS = 60
 URGENT_CALLERS = 4
 MIN_BURST_REQUESTS = 50
-MIN_LOST_SHARE = 0.2
+MIN_LOST_SHARE = 0.1
 MUTATIONS = ("none", "reset", "drain", "stale", "cold")
 SERVICES = {"booking": (ip_to_int("198.18.0.1"), 443),
             "uploads": (ip_to_int("198.18.0.2"), 8443)}
