--- a/src/edge/load/placement_explanation.cpp
+++ b/src/edge/load/placement_explanation.cpp
@@ -125,7 +125,7 @@
     out << ", in progress " << inTenths(u.InProgress) << " of limit "
         << inTenths(u.Limit) << (u.HasRoom ? "" : " (no room)");
   out << (u.IsUsedUnderPressure ? ", used" : ", not used") << " under pressure";
-  out << (u.IsReserved ? ", kept for more urgent routes" : "")
+  out << (u.IsReserved ? ", reserved for more urgent routes" : "")
       << (u.IsChosen ? ", chosen" : "") << '\n';
 }
 
