Review: stand-ins lose datagrams and end their instances before the loop

Cause: review/9 needs lost answers and hosts that send a SYN+ACK again; calls that arrived while the loop closed printed warnings. Change: review/world_2.py.

--- a/review/world_2.py
+++ b/review/world_2.py
@@ -382,6 +382,8 @@
 
     def reply(self, key, flags, seq, ack, data, echo):
         p = Packet(flags, key[2], key[3], key[0], key[1], seq, ack, echo, data)
+        if self.world.is_lost(self, key, p):
+            return
         self.end.out.sendto(p.encode(),
                             (text(key[0]), self.world.packet_port))
 
@@ -435,7 +437,18 @@
             self.opened.append(time.monotonic())
             self.rec("opening", host=self.name, flow=key, copy=p.ack)
             self.world.on_opening(self, key, p)
+            asyncio.get_running_loop().call_later(
+                RETRY_FIRST_S, self.answer_again, key, p, half, 1)
+        self.reply(key, SYN | ACK, half[1], p.seq + 1, b"", p.echo)
+
+    def answer_again(self, key, p, half, n):
+        """Sends a SYN+ACK that was not acknowledged once more."""
+        if not self.alive or self.half.get(key) != half or n > RETRIES:
+            return
         self.reply(key, SYN | ACK, half[1], p.seq + 1, b"", p.echo)
+        asyncio.get_running_loop().call_later(
+            min(RETRY_FIRST_S * 2 ** n, RETRY_MAX_S), self.answer_again, key,
+            p, half, n + 1)
 
     def open(self, key, p):
         half = self.half.get(key)
@@ -544,6 +557,10 @@
         if not p.genuine():
             return self.rec.breaks("MIXED", flow=self.key)
         if p.flags & SYN:
+            # "The last echo that they received on a flow": also that of
+            # another host's answer to a copy of the SYN.
+            if self.consumer.world.takes_any_echo:
+                self.echo = p.echo
             if self.state == "opening" and p.ack == self.nxt:
                 self.state, self.echo = "open", p.echo
                 self.rcv = (p.seq + 1) & 0xFFFFFFFF
@@ -741,6 +758,7 @@
         self.store = Store(self.rec)
         self.edges, self.hosts, self.consumers = [], [], []
         self.holder, self.resets, self.requests, self.runs = {}, {}, {}, {}
+        self.takes_any_echo = False
         self.tasks = []
 
     @staticmethod
@@ -804,6 +822,9 @@
         return rid
 
     # What a test may replace.
+    def is_lost(self, host, key, p):
+        return False
+
     def on_host_packet(self, host, key, p):
         pass
 
@@ -833,12 +854,15 @@
                 self.rec.breaks("FLOW", flow=flow.key, host=holder.name,
                                 by="system" if by_system else sender.name)
 
-    def stop(self):
-        """Ends all processes that this test started."""
+    def kill_edges(self):
         for e in self.edges:
             if e.process and e.process.poll() is None:
                 e.process.kill()
                 e.process.wait()
+
+    def stop(self):
+        """Ends all processes that this test started, and writes the record."""
+        self.kill_edges()
         if os.environ.get("KEEP_LOGS"):
             subprocess.run(["cp", "-r", self.folder, os.environ["KEEP_LOGS"]])
         self.temporary.cleanup()
@@ -851,14 +875,19 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world = World(folder, zone)
     code = 2
-    try:
-        asyncio.run(asyncio.wait_for(test(world, trouble), 115))
+    async def whole():
+        await asyncio.wait_for(test(world, trouble), 110)
         for e in world.edges:
             if e.process.poll() is not None:
                 world.rec.breaks("a process ended by itself", instance=e.name)
+        world.kill_edges()
+        await asyncio.sleep(0.2)
+
+    try:
+        asyncio.run(whole())
         code = 1 if world.rec.broken else 0
     except Exception as e:  # The case could not run.
-        world.rec("ERROR", what=repr(e))
+        world.rec("ERROR", error=repr(e))
         print("could not run:", repr(e))
     finally:
         world.rec("result", code=code, broken=len(world.rec.broken))
