--- a/review/world_2.py
+++ b/review/world_2.py
@@ -382,7 +382,7 @@
 
     def reply(self, key, flags, seq, ack, data, echo):
         p = Packet(flags, key[2], key[3], key[0], key[1], seq, ack, echo, data)
-        if self.world.is_lost(self, key, p):
+        if not self.alive or self.world.is_lost(self, key, p):
             return
         self.end.out.sendto(p.encode(),
                             (text(key[0]), self.world.packet_port))
@@ -875,6 +875,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     world = World(folder, zone)
     code = 2
+
     async def whole():
         await asyncio.wait_for(test(world, trouble), 110)
         for e in world.edges:
