--- a/review/world_2.py
+++ b/review/world_2.py
@@ -365,9 +365,15 @@
                 "sequence": self.sequence, "born": self.born}
 
     def register(self):
-        """Writes the entry; the return value is the store's ack."""
+        """Reports to the store; the return value is the store's ack. "The
+        entry changes when more than `sequence` changes"."""
         self.sequence += 1
-        return self.world.store.write(f"servers/{self.name}", self.spec())
+        key, spec = f"servers/{self.name}", self.spec()
+        old = self.world.store.objects.get(key)
+        if old and isinstance(old["spec"], dict) and \
+                old["spec"] | {"sequence": self.sequence} == spec:
+            return self.world.store.rev
+        return self.world.store.write(key, spec)
 
     async def beat(self):
         while self.alive:
