Logs tell a slow link, a slow reader, a silent parent and an old version apart

Cause: of a late configuration the log told when it was in force, and of a lost parent that a socket was closed by a timeout, or nothing; so a slow link, a slow reader, a silent parent and a parent without a confirmed view looked alike, and an older version that came after a newer one left no line. Change: edge_configuration_in_force names its sender, its bytes and the times to receive and to read it; edge_configuration_older is new; flow_opened names the version that decided; parent_lost and watch_lost tell whether there was no response, a part of one, or an unconfirmed view; totals are in the metrics.

--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -68,6 +68,19 @@
   bool Removed = false;
 };
 
+/// How a list or a watch was received; all zero if it did not come over the
+/// network.
+struct TransferReport {
+  /// The store or the mirror that sent it.
+  Endpoint From;
+  /// Size of the body as it was sent, possibly compressed.
+  std::size_t Bytes = 0;
+  /// From the first to the last byte of the response.
+  Duration Receiving{};
+  /// Time that this process took to decompress and parse the body.
+  Duration Parsing{};
+};
+
 /// The result of a list or a watch, with the store version up to which it is
 /// complete.
 struct ObjectList {
@@ -75,6 +88,7 @@
   ObjectVersion CurrentVersion = 0;
   /// Entries that are left out, as their keys or versions cannot be read.
   std::size_t Unreadable = 0;
+  TransferReport Transfer = {};
 };
 
 /// Asynchronous client of the store. Each call ends with exactly one callback,
--- a/src/edge/edge_events.h
+++ b/src/edge/edge_events.h
@@ -41,6 +41,8 @@
                                           "pressure_changed"};
 inline constexpr LogEvent OpeningTurnedAway{2320, Severity::Info,
                                             "opening_turned_away"};
+inline constexpr LogEvent EdgeConfigurationOlder{2321, Severity::Warning,
+                                                 "edge_configuration_older"};
 inline constexpr LogEvent ParentLost{2313, Severity::Warning, "parent_lost"};
 
 } // namespace boragebridge::events
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -53,6 +53,10 @@
 /// address of the mirror.
 constexpr auto SeedPath = "/v1/seed";
 
+auto inWholeMilliseconds(Duration d) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
 auto textResponse(HttpStatus status, std::string text) -> HttpResponse {
   return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
 }
@@ -416,6 +420,18 @@
       Platform.parentCalls());
   set("edge_log_lines_left_out_total", "Log lines over a limit",
       Log.droppedLines());
+  Metrics.gauge("edge_configuration_version", "Version in force")
+      .set(static_cast<double>(Directory.configuration().Version));
+  const auto &totals = Views.configurationTotals();
+  set("edge_configuration_received_bytes_total",
+      "Bodies of the configurations that were put into force",
+      totals.ReceivedBytes);
+  set("edge_configuration_receive_milliseconds_total",
+      "From the first byte of these bodies to the last",
+      static_cast<std::uint64_t>(inWholeMilliseconds(totals.Receiving)));
+  set("edge_configuration_read_milliseconds_total",
+      "From these bodies to the routes in force",
+      static_cast<std::uint64_t>(inWholeMilliseconds(totals.Reading)));
   Metrics.gauge("edge_upstreams", "Registered upstreams")
       .set(static_cast<double>(Directory.size()));
   Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge_views.h"
 
 #include "edge/edge_events.h"
+#include "edge/flow_log.h"
 #include "store/platform_events.h"
 
 #include <algorithm>
@@ -277,6 +278,7 @@
 }
 
 auto EdgeViews::onConfiguration(const ObjectList &l) -> void {
+  const auto begin = Time.now();
   for (const auto &it : l.Events) {
     if (it.Removed)
       continue;
@@ -287,15 +289,35 @@
       logRefused(it.Object, c.status());
       continue;
     }
-    const auto version = c->Version;
-    const auto routes = c->Routes.size();
-    if (Directory.setConfiguration(*std::move(c)))
-      Log.write(events::EdgeConfigurationInForce,
-                {{"version", std::to_string(version)},
-                 {"routes", std::to_string(routes)}});
+    applyConfiguration(*std::move(c), l, begin);
   }
 }
 
+auto EdgeViews::applyConfiguration(EdgeConfiguration c, const ObjectList &l,
+                                   TimePoint begin) -> void {
+  const auto version = c.Version;
+  const auto routes = c.Routes.size();
+  if (!Directory.setConfiguration(std::move(c))) {
+    Log.write(events::EdgeConfigurationOlder,
+              {{"version", std::to_string(version)},
+               {"in_force", std::to_string(Directory.configuration().Version)},
+               {"store_version", toText(l.CurrentVersion)}});
+    return;
+  }
+  const auto reading = l.Transfer.Parsing + (Time.now() - begin);
+  ConfigurationCounts.ReceivedBytes += l.Transfer.Bytes;
+  ConfigurationCounts.Receiving += l.Transfer.Receiving;
+  ConfigurationCounts.Reading += reading;
+  Log.write(events::EdgeConfigurationInForce,
+            {{"version", std::to_string(version)},
+             {"routes", std::to_string(routes)},
+             {"from", toString(l.Transfer.From)},
+             {"store_version", toText(l.CurrentVersion)},
+             {"bytes", std::to_string(l.Transfer.Bytes)},
+             {"receive_ms", inMilliseconds(l.Transfer.Receiving)},
+             {"read_ms", inMilliseconds(reading)}});
+}
+
 auto EdgeViews::onWithdrawalList(const ObjectList &l) -> void {
   if (IsRestoredList) {
     HeldWithdrawals.insert(Withdrawn.begin(), Withdrawn.end());
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -76,6 +76,14 @@
   Duration RestartWait = std::chrono::milliseconds(1300);
 };
 
+/// What this instance spent on the configurations that it put into force.
+struct ConfigurationTotals {
+  std::uint64_t ReceivedBytes = 0;
+  Duration Receiving{};
+  /// Processor time and pauses from the received body to the routes in force.
+  Duration Reading{};
+};
+
 class EdgeViews {
 public:
   /// Reads through \p platform. All references must outlive the object.
@@ -112,6 +120,9 @@
   auto isComplete() const -> bool;
   /// Age of the oldest of these three views.
   auto age(TimePoint now) const -> Duration;
+  auto configurationTotals() const -> const ConfigurationTotals & {
+    return ConfigurationCounts;
+  }
   /// The mirror that serves the views to other instances.
   auto mirror() -> ObjectMirror & { return Mirror; }
   auto mirror() const -> const ObjectMirror & { return Mirror; }
@@ -131,6 +142,9 @@
   auto onUpstreamList(const ObjectList &l) -> void;
   auto onUpstreamEvents(const ObjectList &l) -> void;
   auto onConfiguration(const ObjectList &l) -> void;
+  /// Puts \p c, which was read from \p l since \p begin, into force.
+  auto applyConfiguration(EdgeConfiguration c, const ObjectList &l,
+                          TimePoint begin) -> void;
   auto onWithdrawalList(const ObjectList &l) -> void;
   auto onWithdrawalEvents(const ObjectList &l) -> void;
   /// Passes the withdrawn data centres on to the directory.
@@ -178,6 +192,7 @@
   ColdStartQuota &Quota;
   EdgeViewsOptions Options;
   ObjectMirror Mirror;
+  ConfigurationTotals ConfigurationCounts;
   MirrorTree Tree;
   std::set<std::string> Withdrawn;
   /// The data centres that were withdrawn when the store was restored. They
--- a/src/edge/flow_log.cpp
+++ b/src/edge/flow_log.cpp
@@ -20,17 +20,19 @@
                        Duration viewAge, TimePoint now) -> void {
   if (!Log.wouldWrite(events::FlowOpened))
     return;
-  Log.write(events::FlowOpened,
-            {{"caller", toString(p.Flow.Caller)},
-             {"service", toString(p.Flow.Service)},
-             {"copy", std::to_string(p.Acknowledged)},
-             {"upstream", d.Upstream->Record.Name},
-             {"why", std::string(toString(d.Reason))},
-             {"chosen", std::string(toString(d.Choice))},
-             {"expected_ms",
-              inMilliseconds(Estimates.expectedTime(*d.Upstream, now))},
-             {"strikes", std::to_string(Estimates.failures(*d.Upstream))},
-             {"view_age_ms", inMilliseconds(viewAge)}});
+  Log.write(
+      events::FlowOpened,
+      {{"caller", toString(p.Flow.Caller)},
+       {"service", toString(p.Flow.Service)},
+       {"copy", std::to_string(p.Acknowledged)},
+       {"upstream", d.Upstream->Record.Name},
+       {"why", std::string(toString(d.Reason))},
+       {"chosen", std::string(toString(d.Choice))},
+       {"expected_ms",
+        inMilliseconds(Estimates.expectedTime(*d.Upstream, now))},
+       {"strikes", std::to_string(Estimates.failures(*d.Upstream))},
+       {"configuration", std::to_string(Directory.configuration().Version)},
+       {"view_age_ms", inMilliseconds(viewAge)}});
 }
 
 auto FlowLog::onReset(const FlowPacket &p, EdgeReason why, Duration viewAge,
--- a/src/store/exchange_on_stream.h
+++ b/src/store/exchange_on_stream.h
@@ -12,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
+#include <chrono>
+
 namespace boragebridge {
 
 /// Connects \p stream. Returns Unavailable on failure; nothing has been sent
@@ -19,12 +21,31 @@
 auto connectTo(boost::beast::tcp_stream &stream, const Endpoint &to)
     -> boost::asio::awaitable<absl::Status>;
 
-/// Sends \p request and reads the response. A body of more than \p limit bytes
-/// is DataLoss; it is not read. Any other failure is DeadlineExceeded: from
-/// the first byte sent until the response is complete, it is unknown whether
-/// the request took effect.
+/// The error of an exchange that failed with \p ec before the response began.
+inline auto noResponse(const boost::beast::error_code &ec) -> absl::Status {
+  return absl::DeadlineExceededError(ec == boost::beast::error::timeout
+                                         ? "no response in time"
+                                         : ec.message());
+}
+
+/// The error of an exchange that failed with \p ec after \p received bytes of
+/// a body of \p length bytes.
+inline auto incompleteResponse(const boost::beast::error_code &ec,
+                               std::uint64_t received, std::uint64_t length)
+    -> absl::Status {
+  const auto why =
+      ec == boost::beast::error::timeout ? "too slow" : ec.message();
+  return absl::DeadlineExceededError("the response ended after " +
+                                     std::to_string(received) + " of " +
+                                     std::to_string(length) + " bytes: " + why);
+}
+
+/// Sends \p request and reads the response. A body of more than
+/// \p limits.ResponseBytes is DataLoss; it is not read. Any other failure is
+/// DeadlineExceeded: from the first byte sent until the response is complete,
+/// it is unknown whether the request took effect.
 template <typename Stream>
-auto exchangeOn(Stream &stream, StoreHttpRequest request, std::size_t limit)
+auto exchangeOn(Stream &stream, StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult {
   namespace asio = boost::asio;
   namespace http = boost::beast::http;
@@ -32,17 +53,26 @@
   co_await http::async_write(stream, request,
                              asio::redirect_error(asio::use_awaitable, ec));
   if (ec)
-    co_return absl::DeadlineExceededError(ec.message());
+    co_return noResponse(ec);
   boost::beast::flat_buffer buf;
   http::response_parser<http::string_body> parser;
-  parser.body_limit(limit);
+  parser.body_limit(limits.ResponseBytes);
+  co_await http::async_read_header(
+      stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec == http::error::body_limit)
+    co_return absl::DataLossError("the response is too long");
+  if (ec)
+    co_return noResponse(ec);
+  const auto begin = std::chrono::steady_clock::now();
   co_await http::async_read(stream, buf, parser,
                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec == http::error::body_limit)
     co_return absl::DataLossError("the response is too long");
   if (ec)
-    co_return absl::DeadlineExceededError(ec.message());
-  co_return parser.release();
+    co_return incompleteResponse(ec, parser.get().body().size(),
+                                 parser.content_length().value_or(0));
+  co_return StoreExchange{parser.release(),
+                          std::chrono::steady_clock::now() - begin};
 }
 
 } // namespace boragebridge
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -35,7 +35,8 @@
   co_await stream.async_connect(address,
                                 asio::redirect_error(asio::use_awaitable, ec));
   if (ec)
-    co_return absl::UnavailableError(ec.message());
+    co_return absl::UnavailableError(
+        ec == beast::error::timeout ? "no connection in time" : ec.message());
   setKeepAlive(stream.socket());
   co_return absl::OkStatus();
 }
@@ -47,8 +48,7 @@
   stream.expires_after(limits.Timeout);
   if (auto s = co_await connectTo(stream, to); !s.ok())
     co_return s;
-  co_return co_await exchangeOn(stream, std::move(request),
-                                limits.ResponseBytes);
+  co_return co_await exchangeOn(stream, std::move(request), limits);
 }
 
 } // namespace boragebridge
--- a/src/store/http_exchange.h
+++ b/src/store/http_exchange.h
@@ -20,8 +20,14 @@
     boost::beast::http::request<boost::beast::http::string_body>;
 using StoreHttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
+
+/// A response, and how long it took from its first byte to its last.
+struct StoreExchange {
+  StoreHttpResponse Response;
+  Duration Receiving{};
+};
 using StoreExchangeResult =
-    boost::asio::awaitable<absl::StatusOr<StoreHttpResponse>>;
+    boost::asio::awaitable<absl::StatusOr<StoreExchange>>;
 
 /// Limits of an exchange: its duration and the size of the response body.
 struct ExchangeLimits {
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <type_traits>
 
 namespace boragebridge {
 
@@ -86,6 +87,14 @@
     addEraTo(it.Object, era);
 }
 
+/// Adds the report of a further page.
+static auto addTo(TransferReport &sum, const TransferReport &page) -> void {
+  sum.From = page.From;
+  sum.Bytes += page.Bytes;
+  sum.Receiving += page.Receiving;
+  sum.Parsing += page.Parsing;
+}
+
 HttpPlatform::HttpPlatform(asio::io_context &io, HttpPlatformSettings settings)
     : Io(io), Settings(std::move(settings)) {}
 
@@ -95,6 +104,15 @@
   return Settings.Dialect->eraHeader().empty() ? v : revisionOf(v);
 }
 
+/// Adds how the value was received, if it is a list.
+template <typename T>
+static auto addTransfer(const TransferReport &r, absl::StatusOr<T> &value)
+    -> void {
+  if constexpr (std::is_same_v<T, StorePage>)
+    if (value.ok())
+      value->Objects.Transfer = r;
+}
+
 template <typename T>
 auto HttpPlatform::addEra(const StoreHttpResponse &r, absl::StatusOr<T> &value)
     -> void {
@@ -133,9 +151,8 @@
       Settings.Transport(Io.get_executor(), Settings.Address,
                          std::move(message), limits.Exchange),
       [this, parse = std::move(parse), done = std::move(done), limits,
-       alive =
-           std::weak_ptr<bool>(Alive)](const std::exception_ptr &failure,
-                                       absl::StatusOr<StoreHttpResponse> r) {
+       alive = std::weak_ptr<bool>(Alive)](const std::exception_ptr &failure,
+                                           absl::StatusOr<StoreExchange> r) {
         if (alive.expired())
           return;
         if (failure != nullptr)
@@ -145,9 +162,14 @@
           return done(absl::Status(limits.TooLong, r.status().message()));
         if (!r.ok())
           return done(r.status());
-        auto value =
-            read<T>(*r, limits.Exchange.ResponseBytes, limits.TooLong, parse);
-        addEra(*r, value);
+        const auto begin = std::chrono::steady_clock::now();
+        const auto bytes = r->Response.body().size();
+        auto value = read<T>(r->Response, limits.Exchange.ResponseBytes,
+                             limits.TooLong, parse);
+        addEra(r->Response, value);
+        addTransfer({Settings.Address, bytes, r->Receiving,
+                     std::chrono::steady_clock::now() - begin},
+                    value);
         done(std::move(value));
       });
 }
@@ -192,6 +214,7 @@
     for (auto &it : r->Objects.Events)
       soFar.Events.push_back(std::move(it));
     soFar.Unreadable += r->Objects.Unreadable;
+    addTo(soFar.Transfer, r->Objects.Transfer);
     if (r->Next.empty())
       return done(std::move(soFar));
     listPage(format, prefix, r->Next, std::move(soFar), std::move(done));
--- a/src/store/mirror_api.cpp
+++ b/src/store/mirror_api.cpp
@@ -23,8 +23,8 @@
 
 static auto toResponse(const absl::StatusOr<ObjectList> &r) -> HttpResponse {
   return {static_cast<unsigned>(toStatus(r.status())),
-          "application/json",
-          r.ok() ? formatObjectList(*r) : "{}",
+          r.ok() ? "application/json" : "text/plain",
+          r.ok() ? formatObjectList(*r) : std::string(r.status().message()),
           {}};
 }
 
--- a/src/store/tls_exchange.cpp
+++ b/src/store/tls_exchange.cpp
@@ -31,8 +31,7 @@
       asio::redirect_error(asio::use_awaitable, ec));
   if (ec)
     co_return absl::UnavailableError(ec.message());
-  co_return co_await exchangeOn(stream, std::move(request),
-                                limits.ResponseBytes);
+  co_return co_await exchangeOn(stream, std::move(request), limits);
 }
 
 auto makeTlsTransport(std::shared_ptr<asio::ssl::context> tls,
