A change that arrives while a poll is under way is not a lost watch

Cause: a poll that was sent before a change reports it; if the watch has delivered it meanwhile, the monitor compared with the version that the view had by then, and waited for a later change. A large body makes the window long. Change: what the poll reports is compared with what the watch has delivered since. Result: StoreWatchMonitor/ChangeThatArrivesDuringThePollIsNotALostWatch failed on the code before (the monitor failed the watch), and passes.

--- a/src/store/watch_monitor.cpp
+++ b/src/store/watch_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include "store/platform_events.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragebridge {
@@ -28,38 +29,51 @@
   if (watcher == nullptr)
     return;
   PollOpen = true;
-  SendPoll(
-      watcher->prefix(), watcher->version(),
-      [this, now, watcher, alive = std::weak_ptr<bool>(Alive)](const auto &r) {
-        if (!alive.expired())
-          onPoll(*watcher, now, r);
-      });
+  const PollCall call{watcher, watcher->version(), now};
+  SendPoll(call.Watcher->prefix(), call.Version,
+           [this, call, alive = std::weak_ptr<bool>(Alive)](const auto &r) {
+             if (!alive.expired())
+               onPoll(call, r);
+           });
 }
 
-auto WatchMonitor::onPoll(ObjectWatcher &watcher, TimePoint sentAt,
+auto WatchMonitor::hasNews(const PollCall &call,
+                           const absl::StatusOr<ObjectList> &r) -> bool {
+  const auto version = call.Watcher->version();
+  if (version == call.Version)
+    return !r.ok() || !r->Events.empty();
+  // While the poll was under way, the watch has delivered something. What the
+  // poll saw beside it shows in the next one.
+  return r.ok() &&
+         std::any_of(r->Events.begin(), r->Events.end(), [&](const auto &it) {
+           return it.Object.Version > version;
+         });
+}
+
+auto WatchMonitor::onPoll(const PollCall &call,
                           const absl::StatusOr<ObjectList> &r) -> void {
   PollOpen = false;
-  if (r.ok() && eraOf(r->CurrentVersion) > eraOf(watcher.version())) {
+  if (r.ok() && eraOf(r->CurrentVersion) > eraOf(call.Watcher->version())) {
     for (auto *it : Watchers)
       it->onStoreRestored(eraOf(r->CurrentVersion));
     return;
   }
   if (r.ok() || absl::IsDataLoss(r.status())) {
-    const auto hasChanges = !r.ok() || !r->Events.empty();
-    if (!hasChanges || Lagging != nullptr)
+    if (!hasNews(call, r) || Lagging != nullptr)
       return;
     constexpr int RoundTrips = 3;
     const auto now = Time.now();
-    Lagging = &watcher;
-    LaggingVersion = watcher.version();
-    LaggingDeadline = now + Options.LostAfter + RoundTrips * (now - sentAt);
+    Lagging = call.Watcher;
+    LaggingVersion = call.Watcher->version();
+    LaggingDeadline =
+        now + Options.LostAfter + RoundTrips * (now - call.SentAt);
     return;
   }
   // That the history is gone is an answer as well: the store responds.
   if (absl::IsOutOfRange(r.status()))
     return;
   for (auto *it : Watchers)
-    if (it->isReachable() && it->confirmedAt() <= sentAt)
+    if (it->isReachable() && it->confirmedAt() <= call.SentAt)
       failWatch(*it, r.status());
 }
 
--- a/src/store/watch_monitor.h
+++ b/src/store/watch_monitor.h
@@ -61,8 +61,18 @@
   auto tick(TimePoint now) -> void;
 
 private:
-  auto onPoll(ObjectWatcher &watcher, TimePoint sentAt,
-              const absl::StatusOr<ObjectList> &r) -> void;
+  /// A poll, and the version after which it asked for changes.
+  struct PollCall {
+    ObjectWatcher *Watcher = nullptr;
+    ObjectVersion Version = 0;
+    TimePoint SentAt;
+  };
+
+  /// Whether the poll reports changes that the watcher does not know.
+  static auto hasNews(const PollCall &call, const absl::StatusOr<ObjectList> &r)
+      -> bool;
+  auto onPoll(const PollCall &call, const absl::StatusOr<ObjectList> &r)
+      -> void;
   /// Fails the lagging watch after its deadline, unless it has caught up.
   auto checkLaggingWatch(TimePoint now) -> void;
   auto failWatch(ObjectWatcher &watcher, const absl::Status &why) -> void;
--- a/test/store/watch_monitor_test.cpp
+++ b/test/store/watch_monitor_test.cpp
@@ -200,6 +200,21 @@
   BOOST_TEST(Failures == 0U);
 }
 
+// A change that the watch delivered while a poll was under way made the root
+// give up a good watch, and all readers of its mirror their parent.
+BOOST_AUTO_TEST_CASE(ChangeThatArrivesDuringThePollIsNotALostWatch) {
+  advance(milliseconds(1));
+  auto poll = takePoll();
+  Store.answer("a/", oneEvent(9));
+  poll.Done(oneEvent(9));
+  for (int i = 0; i < 10; ++i) {
+    advance(milliseconds(500));
+    A.tick(Time.now());
+    takePoll().Done(ObjectList{{}, 9});
+  }
+  BOOST_TEST(Failures == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
