A response that makes progress is not given up

Cause: the time limit was for a whole response, 500 ms at a mirror, whatever its size; a link of 10 Mbit/s that serves eight readers can't send 490 kB in it. The reader dropped what it had and began again at the next parent. Change: the limit holds until the response begins; from then on a response is given up without progress for StallTimeout, as soon as before, and after TransferTimeout. The server of mirrors likewise gives up readers that take nothing. Result: HttpPlatformClient/SlowResponseThatMakesProgressIsNotGivenUp failed before (deadline exceeded), and passes.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -252,6 +252,7 @@
     settings.Timeout = AdoptionTimeout;
   }
   settings.WatchGrace = MirrorTimeout;
+  settings.StallTimeout = MirrorTimeout;
   return std::make_unique<HttpPlatform>(Io, std::move(settings));
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -103,15 +103,26 @@
                : std::make_shared<const std::string>(std::move(out.Body));
     Response->body() = {Body->data(), Body->size()};
     Response->prepare_payload();
+    Serializer.emplace(*Response);
+    writeSome();
+  }
+
+  /// Sends what the connection accepts. A client that takes a long response
+  /// slowly is given up only when it takes nothing.
+  auto writeSome() -> void {
     Stream.expires_after(Owner->Options.Timeout);
-    http::async_write(
-        Stream, *Response,
-        [self = shared_from_this()](auto ec, auto) { self->onWritten(ec); },
-        nullptr);
+    http::async_write_some(Stream, *Serializer,
+                           [self = shared_from_this()](auto ec, auto) {
+                             if (ec || self->Serializer->is_done())
+                               self->onWritten(ec);
+                             else
+                               self->writeSome();
+                           });
   }
 
   auto onWritten(beast::error_code ec) -> void {
     Writing = false;
+    Serializer.reset();
     Response.reset();
     Body.reset();
     if (Owner->Closed || ec)
@@ -126,6 +137,8 @@
   beast::flat_buffer Buffer;
   std::optional<http::request_parser<http::string_body>> Parser;
   std::optional<http::response<http::span_body<const char>>> Response;
+  std::optional<http::response_serializer<http::span_body<const char>>>
+      Serializer;
   /// The body of Response.
   std::shared_ptr<const std::string> Body;
   bool KeepAlive = false;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -19,7 +19,8 @@
   /// Concurrent connections. A connection over the limit is closed at once and
   /// counted.
   std::size_t MaxConnections = 256;
-  /// The longest time to receive one request or to send one response.
+  /// The longest time to receive one request, and without progress while a
+  /// response is sent.
   Duration Timeout = std::chrono::seconds(30);
   /// Maximum size of the body of a request, in bytes.
   std::size_t RequestBytes = MaxHttpBodyBytes;
--- a/src/store/exchange_on_stream.h
+++ b/src/store/exchange_on_stream.h
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 
+#include <algorithm>
 #include <chrono>
 
 namespace boragebridge {
@@ -64,13 +65,18 @@
   if (ec)
     co_return noResponse(ec);
   const auto begin = std::chrono::steady_clock::now();
-  co_await http::async_read(stream, buf, parser,
-                            asio::redirect_error(asio::use_awaitable, ec));
-  if (ec == http::error::body_limit)
-    co_return absl::DataLossError("the response is too long");
-  if (ec)
-    co_return incompleteResponse(ec, parser.get().body().size(),
-                                 parser.content_length().value_or(0));
+  while (!parser.is_done()) {
+    const auto now = std::chrono::steady_clock::now();
+    boost::beast::get_lowest_layer(stream).expires_at(
+        std::min(now + limits.StallTimeout, begin + limits.TransferTimeout));
+    co_await http::async_read_some(
+        stream, buf, parser, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == http::error::body_limit)
+      co_return absl::DataLossError("the response is too long");
+    if (ec)
+      co_return incompleteResponse(ec, parser.get().body().size(),
+                                   parser.content_length().value_or(0));
+  }
   co_return StoreExchange{parser.release(),
                           std::chrono::steady_clock::now() - begin};
 }
--- a/src/store/http_exchange.h
+++ b/src/store/http_exchange.h
@@ -29,9 +29,17 @@
 using StoreExchangeResult =
     boost::asio::awaitable<absl::StatusOr<StoreExchange>>;
 
-/// Limits of an exchange: its duration and the size of the response body.
+/// Limits of an exchange. A response that has begun is given up only when it
+/// makes no progress, however long it is for the link.
 struct ExchangeLimits {
+  /// Until the header of the response is complete, connecting included.
   Duration Timeout{};
+  /// Between two parts of the body.
+  Duration StallTimeout{};
+  /// From the first to the last byte of the body. Bounds what a sender that is
+  /// hardly faster than StallTimeout can hold up.
+  Duration TransferTimeout{};
+  /// Maximum size of the body.
   std::size_t ResponseBytes = 0;
 };
 
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -285,10 +285,11 @@
 
 auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
                          Callback<ObjectList> done) -> void {
-  runForEvents(Settings.Dialect->watch(prefix, onWire(after), wait), prefix,
-               {{wait + Settings.WatchGrace, Settings.WatchResponseBytes},
-                absl::StatusCode::kOutOfRange},
-               requireEra(after, std::move(done)));
+  runForEvents(
+      Settings.Dialect->watch(prefix, onWire(after), wait), prefix,
+      {exchangeLimits(wait + Settings.WatchGrace, Settings.WatchResponseBytes),
+       absl::StatusCode::kOutOfRange},
+      requireEra(after, std::move(done)));
 }
 
 auto HttpPlatform::poll(const std::string &prefix, ObjectVersion after,
@@ -303,10 +304,10 @@
       r = ObjectList{{}, after};
     done(std::move(r));
   };
-  runForEvents(
-      Settings.Dialect->poll(prefix, onWire(after)), prefix,
-      {{timeout, Settings.WatchResponseBytes}, absl::StatusCode::kDataLoss},
-      std::move(onEvents));
+  runForEvents(Settings.Dialect->poll(prefix, onWire(after)), prefix,
+               {exchangeLimits(timeout, Settings.WatchResponseBytes),
+                absl::StatusCode::kDataLoss},
+               std::move(onEvents));
 }
 
 } // namespace boragebridge
--- a/src/store/http_platform.h
+++ b/src/store/http_platform.h
@@ -39,11 +39,15 @@
       std::make_shared<NativeDialect>();
   /// Value of the Host header; empty for the address.
   std::string ServerName = {};
-  /// Limit of the duration of one exchange, connecting included. A list takes
-  /// one exchange for each page.
+  /// Limit of the time until a response begins, connecting included. A list
+  /// takes one exchange for each page.
   Duration Timeout = std::chrono::seconds(2);
-  /// How much longer than its wait a watch may take.
+  /// How much longer than its wait a watch may take until its response begins.
   Duration WatchGrace = std::chrono::seconds(2);
+  /// A response that has begun is given up after this time without progress.
+  Duration StallTimeout = std::chrono::seconds(1);
+  /// Limit of the duration of a response that makes progress.
+  Duration TransferTimeout = std::chrono::seconds(10);
   /// Whether responses may be compressed (deflate.h).
   bool AcceptsDeflate = false;
   /// Maximum size of a response body, in bytes, after decompression.
@@ -121,9 +125,14 @@
   /// The limits of a call that is neither a watch nor a poll. It is unknown
   /// whether a call whose response is too long took effect.
   auto limits() const -> CallLimits {
-    return {{Settings.Timeout, Settings.ResponseBytes},
+    return {exchangeLimits(Settings.Timeout, Settings.ResponseBytes),
             absl::StatusCode::kDeadlineExceeded};
   }
+  /// The limits of an exchange whose response begins within \p timeout.
+  auto exchangeLimits(Duration timeout, std::size_t bytes) const
+      -> ExchangeLimits {
+    return {timeout, Settings.StallTimeout, Settings.TransferTimeout, bytes};
+  }
   /// Runs a request whose response lists events below \p prefix.
   auto runForEvents(const StoreRequest &request, const std::string &prefix,
                     const CallLimits &limits, Callback<ObjectList> done)
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -7,6 +7,8 @@
 #pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -36,11 +38,15 @@
   http::request<http::string_body> Seen;
   http::response<http::string_body> Answer;
   std::optional<HttpPlatform> Client;
+  std::string Text;
+  asio::steady_timer Pause{Io};
 
   HttpPlatformFixture() {
     HttpPlatformSettings settings;
     settings.Address = {0x7F000001, Acceptor.local_endpoint().port()};
     settings.Timeout = std::chrono::milliseconds(300);
+    settings.WatchGrace = std::chrono::milliseconds(300);
+    settings.StallTimeout = std::chrono::milliseconds(300);
     settings.ResponseBytes = ResponseBytes;
     settings.WatchResponseBytes = WatchResponseBytes;
     Client.emplace(Io, settings);
@@ -61,6 +67,31 @@
     });
   }
 
+  /// Sends the header of a response and then each of \p parts of its body,
+  /// which has \p length bytes, after \p interval.
+  auto serveInParts(const std::vector<std::string> &parts, std::size_t length,
+                    Duration interval) -> void {
+    Acceptor.async_accept(Peer, [=, this](auto) {
+      http::async_read(Peer, Buffer, Seen, [=, this](auto, auto) {
+        Text = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+               "\r\n\r\n";
+        sendText(parts, 0, interval);
+      });
+    });
+  }
+  auto sendText(const std::vector<std::string> &parts, std::size_t next,
+                Duration interval) -> void {
+    asio::async_write(Peer, asio::buffer(Text), [=, this](auto, auto) {
+      if (next == parts.size())
+        return;
+      Pause.expires_after(interval);
+      Pause.async_wait([=, this](auto) {
+        Text = parts[next];
+        sendText(parts, next + 1, interval);
+      });
+    });
+  }
+
   auto get() -> absl::StatusOr<StoredObject> {
     absl::StatusOr<StoredObject> result = absl::UnknownError("no callback");
     Client->get("config/a b", [&](auto r) { result = std::move(r); });
@@ -264,6 +295,39 @@
   BOOST_TEST(!called);
 }
 
+// A reader gave up each configuration that its link took longer for than the
+// time limit, and started again at another mirror.
+BOOST_AUTO_TEST_CASE(SlowResponseThatMakesProgressIsNotGivenUp) {
+  const std::vector<std::string> parts{R"({"current_version":12,)",
+                                       R"("objects":[],)", R"("a":1,)",
+                                       R"("b":2,)", R"("c":3})"};
+  std::size_t n = 0;
+  for (const auto &it : parts)
+    n += it.size();
+  serveInParts(parts, n, std::chrono::milliseconds(120));
+  const auto r = watch();
+  BOOST_TEST_REQUIRE(r.ok());
+  BOOST_TEST(r->CurrentVersion == 12U);
+  BOOST_TEST(r->Transfer.Bytes == n);
+  BOOST_TEST((r->Transfer.Receiving >= std::chrono::milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_CASE(ResponseThatStallsIsGivenUpAndTellsItsProgress) {
+  serveInParts({"{\"current"}, 90, std::chrono::milliseconds(1));
+  const auto begin = std::chrono::steady_clock::now();
+  const auto r = watch();
+  BOOST_TEST(absl::IsDeadlineExceeded(r.status()));
+  BOOST_TEST(r.status().message() ==
+             "the response ended after 9 of 90 bytes: too slow");
+  BOOST_TEST((std::chrono::steady_clock::now() - begin <
+              std::chrono::milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(SilentServerIsToldFromASlowOne) {
+  serve(Behaviour::NoAnswer);
+  BOOST_TEST(watch().status().message() == "no response in time");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
