A list that follows a lost history keeps the history of the mirror

Cause: a view that was listed again replaced the mirror's history as well, so every reader of it was told that its history is gone and listed all objects, level by level of the tree, whatever had changed. Change: the list is compared with the view; readers get what has changed. Only a list of another era, or an older one, starts a new history. Result: StoreObjectMirror/ReadersOfAReplacedViewGetOnlyWhatHasChanged failed on the code before (OutOfRange), and passes.

--- a/src/store/object_mirror.cpp
+++ b/src/store/object_mirror.cpp
@@ -2,24 +2,60 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace boragebridge {
 
-auto ObjectMirror::replace(const std::string &prefix, const ObjectList &all)
-    -> void {
-  auto &view = Views[prefix];
-  ++view.Updates;
+auto ObjectMirror::clear(View &view) -> void {
   view.ByKey.clear();
   view.Changes.clear();
   view.Removals = 0;
   view.RemovalBytes = 0;
+}
+
+auto ObjectMirror::changesTo(const View &view, const ObjectList &all)
+    -> std::vector<ObjectEvent> {
+  std::vector<ObjectEvent> out;
+  std::unordered_set<std::string_view> present;
+  present.reserve(all.Events.size());
+  for (const auto &it : all.Events) {
+    present.insert(it.Object.Key);
+    const auto known = view.ByKey.find(it.Object.Key);
+    const auto isKnown =
+        known != view.ByKey.end() && !known->second->Event.Removed &&
+        known->second->Event.Object.Version == it.Object.Version &&
+        known->second->Event.Object.Value == it.Object.Value;
+    if (!isKnown)
+      out.push_back(it);
+  }
+  for (const auto &[key, it] : view.ByKey)
+    if (!it->Event.Removed && !present.contains(key))
+      out.push_back({{key, {}, all.CurrentVersion}, true});
+  return out;
+}
+
+auto ObjectMirror::replace(const std::string &prefix, const ObjectList &all)
+    -> std::vector<ObjectEvent> {
+  auto &view = Views[prefix];
+  auto changes = changesTo(view, all);
+  const auto continues = view.Version != 0 &&
+                         eraOf(view.Version) == eraOf(all.CurrentVersion) &&
+                         view.Version <= all.CurrentVersion;
   view.Version = all.CurrentVersion;
-  view.HistoryStart = all.CurrentVersion;
-  for (const auto &it : all.Events)
+  if (!continues) {
+    clear(view);
+    view.HistoryStart = all.CurrentVersion;
+  }
+  for (const auto &it : continues ? changes : all.Events)
     record(view, it);
+  if (!changes.empty() || !continues)
+    ++view.Updates;
+  forgetRemovals(view, Options.RemovalBytes);
   view.Confirmed = true;
   answerWatches(view);
+  return changes;
 }
 
 auto ObjectMirror::apply(const std::string &prefix, const ObjectList &events)
--- a/src/store/object_mirror.h
+++ b/src/store/object_mirror.h
@@ -52,8 +52,12 @@
   ObjectMirror(const ObjectMirror &) = delete;
   auto operator=(const ObjectMirror &) -> ObjectMirror & = delete;
 
-  /// Replaces the view of \p prefix by \p all, and confirms it.
-  auto replace(const std::string &prefix, const ObjectList &all) -> void;
+  /// Replaces the view of \p prefix by \p all, and confirms it. Returns what
+  /// has changed. Objects that have not changed keep their place in the
+  /// history, so a reader of the earlier view gets only the changes; it must
+  /// read the list only if \p all is of another era or older than the view.
+  auto replace(const std::string &prefix, const ObjectList &all)
+      -> std::vector<ObjectEvent>;
   /// Applies the events that a watch of \p prefix returned.
   auto apply(const std::string &prefix, const ObjectList &events) -> void;
   /// Records that nothing below \p prefix changed up to \p version.
@@ -121,6 +125,11 @@
     std::vector<Watch> Watches;
   };
 
+  /// Forgets all objects of \p view and its history.
+  static auto clear(View &view) -> void;
+  /// What has to change in \p view so that it has the objects of \p all.
+  static auto changesTo(const View &view, const ObjectList &all)
+      -> std::vector<ObjectEvent>;
   /// Records \p e as the last change of its object.
   static auto record(View &view, const ObjectEvent &e) -> void;
   /// Forgets the oldest removals that do not fit into \p maxBytes.
--- a/test/store/object_mirror_test.cpp
+++ b/test/store/object_mirror_test.cpp
@@ -223,6 +223,41 @@
   BOOST_TEST(Mirror.usage().RemovalBytes == 0U);
 }
 
+// After the history of the store was gone, every reader of every mirror read
+// all objects again.
+BOOST_AUTO_TEST_CASE(ReadersOfAReplacedViewGetOnlyWhatHasChanged) {
+  start();
+  const auto changes = Mirror.replace(
+      "p/", {{object("p/a", 5), object("p/c", 8), object("p/d", 9)}, 9});
+  BOOST_TEST(changes.size() == 3U);
+  watch(7);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST_REQUIRE(Answer->ok());
+  BOOST_TEST_REQUIRE((*Answer)->Events.size() == 3U);
+  BOOST_TEST((*Answer)->Events[0].Object.Key == "p/c");
+  BOOST_TEST((*Answer)->Events[2].Object.Key == "p/b");
+  BOOST_TEST((*Answer)->Events[2].Removed);
+  BOOST_TEST(Mirror.list("p/")->Events.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ReplacingByTheSameObjectsIsNoChange) {
+  start();
+  const auto n = Mirror.changeCount("p/");
+  BOOST_TEST(
+      Mirror.replace("p/", {{object("p/a", 5), object("p/b", 6)}, 11}).empty());
+  BOOST_TEST(Mirror.changeCount("p/") == n);
+  watch(7);
+  BOOST_TEST(!Answer.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReplacingByAnOlderViewStartsANewHistory) {
+  start();
+  Mirror.replace("p/", {{object("p/a", 5)}, 6});
+  watch(5);
+  BOOST_TEST_REQUIRE(Answer.has_value());
+  BOOST_TEST(absl::IsOutOfRange(Answer->status()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
