One lost packet of a poll does not make a root leave the store

Cause: a packet that opens a connection may be dropped, and is sent again only after a second. Change: a poll without an answer after 300 ms is sent once more over another connection. The verdict falls when the first one fails, so no later than before. Result: StoreWatchMonitor/PollThatIsAnsweredOnlyWhenRepeatedKeepsWatches failed on the code before (no second poll), and passes.

--- a/src/store/watch_monitor.cpp
+++ b/src/store/watch_monitor.cpp
@@ -21,6 +21,10 @@
 }
 
 auto WatchMonitor::tick(TimePoint now) -> void {
+  if (PollOpen && !IsRepeated && now - OpenPoll.SentAt >= Options.RepeatAfter) {
+    IsRepeated = true;
+    send(OpenPoll, true);
+  }
   if (!SendPoll || PollOpen || now < NextPoll)
     return;
   NextPoll = now + Options.Interval;
@@ -29,14 +33,30 @@
   if (watcher == nullptr)
     return;
   PollOpen = true;
-  const PollCall call{watcher, watcher->version(), now};
+  IsRepeated = false;
+  OpenPoll = {watcher, watcher->version(), now};
+  send(OpenPoll, false);
+}
+
+auto WatchMonitor::send(const PollCall &call, bool isRepeat) -> void {
   SendPoll(call.Watcher->prefix(), call.Version,
-           [this, call, alive = std::weak_ptr<bool>(Alive)](const auto &r) {
-             if (!alive.expired())
-               onPoll(call, r);
+           [this, call, isRepeat,
+            alive = std::weak_ptr<bool>(Alive)](const auto &r) {
+             if (alive.expired() || !PollOpen || call.SentAt != OpenPoll.SentAt)
+               return;
+             // Whether the store is silent is decided when the first poll
+             // fails.
+             if (isRepeat && !isAnswer(r.status()))
+               return;
+             onPoll(call, r);
            });
 }
 
+auto WatchMonitor::isAnswer(const absl::Status &s) -> bool {
+  // That the history is gone is an answer as well: the store responds.
+  return s.ok() || absl::IsDataLoss(s) || absl::IsOutOfRange(s);
+}
+
 auto WatchMonitor::hasNews(const PollCall &call,
                            const absl::StatusOr<ObjectList> &r) -> bool {
   const auto version = call.Watcher->version();
@@ -69,8 +89,7 @@
         now + Options.LostAfter + RoundTrips * (now - call.SentAt);
     return;
   }
-  // That the history is gone is an answer as well: the store responds.
-  if (absl::IsOutOfRange(r.status()))
+  if (isAnswer(r.status()))
     return;
   for (auto *it : Watchers)
     if (it->isReachable() && it->confirmedAt() <= call.SentAt)
--- a/src/store/watch_monitor.h
+++ b/src/store/watch_monitor.h
@@ -28,6 +28,9 @@
 struct WatchMonitorOptions {
   /// Time between two polls.
   Duration Interval = std::chrono::milliseconds(500);
+  /// A poll that was not answered for this long is sent once more, over another
+  /// connection: the loss of one packet does not show that the store is silent.
+  Duration RepeatAfter = std::chrono::milliseconds(300);
   /// A watch is lost when it has not delivered a change for this long after a
   /// poll reported it. A few round-trip times of that poll are added, as a slow
   /// store answers watches late as well. Has to exceed the BatchDelay of the
@@ -68,6 +71,9 @@
     TimePoint SentAt;
   };
 
+  auto send(const PollCall &call, bool isRepeat) -> void;
+  /// Whether a poll with this status shows that the store responds.
+  static auto isAnswer(const absl::Status &s) -> bool;
   /// Whether the poll reports changes that the watcher does not know.
   static auto hasNews(const PollCall &call, const absl::StatusOr<ObjectList> &r)
       -> bool;
@@ -85,7 +91,10 @@
   std::vector<ObjectWatcher *> Watchers;
   WatchMonitorOptions Options;
   TimePoint NextPoll;
+  /// The last poll, and whether it is open and was repeated.
+  PollCall OpenPoll;
   bool PollOpen = false;
+  bool IsRepeated = false;
   /// Index in Watchers, modulo its size, of the next one to poll.
   std::size_t NextWatcher = 0;
   /// A watcher whose view a poll found out of date, its version at that time,
--- a/test/store/watch_monitor_test.cpp
+++ b/test/store/watch_monitor_test.cpp
@@ -215,6 +215,36 @@
   BOOST_TEST(Failures == 0U);
 }
 
+// One lost packet of a poll made all watches of a root count as lost, and its
+// whole data centre leave it.
+BOOST_AUTO_TEST_CASE(PollThatIsAnsweredOnlyWhenRepeatedKeepsWatches) {
+  advance(milliseconds(500));
+  auto first = takePoll();
+  advance(milliseconds(200));
+  BOOST_TEST(Polls.empty());
+  advance(milliseconds(100));
+  takePoll().Done(ObjectList{{}, 9});
+  advance(milliseconds(200));
+  auto next = takePoll();
+  BOOST_TEST(next.Prefix == "b/");
+  first.Done(absl::UnavailableError("no connection in time"));
+  BOOST_TEST(Failures == 0U);
+  next.Done(ObjectList{{}, 9});
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedPollDoesNotDelayTheVerdict) {
+  advance(milliseconds(500));
+  auto first = takePoll();
+  advance(milliseconds(300));
+  auto second = takePoll();
+  advance(milliseconds(400));
+  BOOST_TEST(Polls.empty());
+  first.Done(absl::DeadlineExceededError("silent"));
+  BOOST_TEST(Failures == 2U);
+  second.Done(absl::DeadlineExceededError("silent"));
+  BOOST_TEST(Failures == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
