Scan JSON strings without a search call for each character

Cause: find_first_of() with two characters calls memchr for each character of the text; the store's pages are scanned five times, and configurations are split by it. Change: a loop.

--- a/src/net/json_split.cpp
+++ b/src/net/json_split.cpp
@@ -66,12 +66,10 @@
   /// if there is none.
   auto skipString() -> bool {
     for (++Pos; Pos < Text.size(); ++Pos) {
-      Pos = Text.find_first_of("\"\\", Pos);
-      if (Pos == std::string_view::npos)
-        break;
       if (Text[Pos] == '"')
         return true;
-      ++Pos;
+      if (Text[Pos] == '\\')
+        ++Pos;
     }
     Pos = Text.size();
     return false;
