Compress long answers to watches of a mirror

Cause: lists were compressed, but not watches, which carry new configurations. Change: a body of 2 kB or more is compressed once for all readers that accept it.

--- a/src/store/mirror_api.cpp
+++ b/src/store/mirror_api.cpp
@@ -11,6 +11,9 @@
 /// The longest time for which a reader may keep a watch open.
 static constexpr std::chrono::milliseconds MaxWait{30'000};
 
+/// Shorter bodies fit into one or two packets anyway.
+static constexpr std::size_t MinCompressedBytes = 2048;
+
 static auto toStatus(const absl::Status &s) -> HttpStatus {
   if (s.ok())
     return HttpStatus::Ok;
@@ -45,6 +48,12 @@
           std::move(body)};
 }
 
+auto encodingHeader(bool isCompressed) -> HttpHeaders {
+  if (!isCompressed)
+    return {};
+  return {{"Content-Encoding", std::string(DeflateEncoding)}};
+}
+
 /// Formats responses. Many readers get the same response, as they start or wait
 /// for a change at the same time, so a body is formatted once and shared.
 class ResponseFormatter {
@@ -66,23 +75,31 @@
         return toResponse(body.status());
       compressed = {n, std::make_shared<const std::string>(*std::move(body))};
     }
-    return jsonResponse(compressed.Body,
-                        {{"Content-Encoding", std::string(DeflateEncoding)}});
+    return jsonResponse(compressed.Body, encodingHeader(true));
   }
 
-  /// The response to a watch of \p prefix from version \p after on.
-  auto watch(const std::string &prefix, ObjectVersion after,
+  /// The response to a watch of \p prefix from version \p after on, compressed
+  /// if \p mayCompress and it is long.
+  auto watch(const std::string &prefix, ObjectVersion after, bool mayCompress,
              const absl::StatusOr<ObjectList> &r) -> HttpResponse {
     if (!r.ok() || r->Events.empty())
       return toResponse(r);
-    auto &last = Watches[prefix];
+    auto &last = Watches[{prefix, mayCompress}];
     const auto n = Mirror.changeCount(prefix);
     auto body = last.Body.lock();
     if (body == nullptr || last.After != after || last.Changes != n) {
-      body = std::make_shared<const std::string>(formatObjectList(*r));
-      last = {after, n, body};
+      auto text = formatObjectList(*r);
+      last = {after, n, {}, mayCompress && text.size() >= MinCompressedBytes};
+      if (last.IsCompressed) {
+        auto compressed = deflate(text);
+        if (!compressed.ok())
+          return toResponse(compressed.status());
+        text = *std::move(compressed);
+      }
+      body = std::make_shared<const std::string>(std::move(text));
+      last.Body = body;
     }
-    return jsonResponse(std::move(body));
+    return jsonResponse(std::move(body), encodingHeader(last.IsCompressed));
   }
 
 private:
@@ -95,11 +112,13 @@
     ObjectVersion After = 0;
     std::uint64_t Changes = 0;
     std::weak_ptr<const std::string> Body;
+    bool IsCompressed = false;
   };
 
   const ObjectMirror &Mirror;
   std::map<std::string, CompressedList> Lists;
-  std::map<std::string, WatchResponse> Watches;
+  /// By prefix, and by whether the response may be compressed.
+  std::map<std::pair<std::string, bool>, WatchResponse> Watches;
 };
 
 } // namespace
@@ -118,15 +137,16 @@
                       "{}",
                       {}});
     const auto after = target.number("after");
+    const auto mayCompress = acceptsDeflate(r);
     const auto waitMs =
         std::min<std::uint64_t>(target.number("wait_ms"), MaxWait.count());
     if (waitMs == 0)
-      return respond(
-          formatter->watch(prefix, after, mirror.changes(prefix, after)));
+      return respond(formatter->watch(prefix, after, mayCompress,
+                                      mirror.changes(prefix, after)));
     mirror.watch(prefix, after, time.now() + std::chrono::milliseconds(waitMs),
-                 [respond, formatter, prefix,
-                  after](const absl::StatusOr<ObjectList> &l) {
-                   respond(formatter->watch(prefix, after, l));
+                 [respond, formatter, prefix, after,
+                  mayCompress](const absl::StatusOr<ObjectList> &l) {
+                   respond(formatter->watch(prefix, after, mayCompress, l));
                  });
   };
 }
--- a/test/store/mirror_api_test.cpp
+++ b/test/store/mirror_api_test.cpp
@@ -125,6 +125,22 @@
   BOOST_TEST(parseObjectList(*first)->Events.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(LongAnswerToAWatchIsCompressedOnRequest) {
+  Mirror.replace("p/", {{{{"p/a", "{}", 5}, false}}, 7});
+  const std::string text(100'000, 'x');
+  Mirror.apply("p/", {{{{"p/b", text, 8}, false}}, 8});
+  get("/v1/watch?prefix=p%2F&after=7&wait_ms=0", true);
+  BOOST_TEST(Response.Headers["Content-Encoding"] == DeflateEncoding);
+  BOOST_TEST_REQUIRE(Response.SharedBody != nullptr);
+  BOOST_TEST(Response.SharedBody->size() < text.size() / 10);
+  const auto body = inflate(*Response.SharedBody, 2 * text.size());
+  BOOST_TEST_REQUIRE(body.ok());
+  BOOST_TEST(parseObjectList(*body)->Events.at(0).Object.Value == text);
+  get("/v1/watch?prefix=p%2F&after=7&wait_ms=0", false);
+  BOOST_TEST(Response.Headers.empty());
+  BOOST_TEST(parseObjectList(*Response.SharedBody).ok());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
