A change of one route costs each instance that route alone

Instances with 0.038 of a core stood still for up to 842 ms for each version. Cause: each version went whole over each link of the mirror tree and was parsed whole by each instance, whatever had changed in it. Evidence: logs of all 85 instances: an instance received a version of 2,849 routes for 0.5 s on average, up to 1.15 s, and read it for 0.2 s, up to 0.77 s. Change: the instance that reads the store splits the configuration into one part for each route and service, and compares them with those that it has. Mirrors serve the parts below a prefix of their own; readers get, decode and pass on changed parts. Of several versions only the newest is read. Instances of the release before are told that the view is not confirmed, and read the store. Result: EdgeStoreViews/ChangeOfOneRouteCostsReadersThatRouteAlone (3,000 routes, two parts of under 300 bytes; the whole text before).

--- a/fuzz/users_platform_fuzzer.cpp
+++ b/fuzz/users_platform_fuzzer.cpp
@@ -3,6 +3,7 @@
 // compressed lists of mirrors, and JSON text that is split without parsing it.
 #include "fuzz_target.h"
 
+#include "edge/configuration_parts.h"
 #include "edge/mirror_tree.h"
 #include "net/deflate.h"
 #include "net/json_split.h"
@@ -77,7 +78,7 @@
   const auto text = toText(data);
   const users::RecordCodec records;
   static_cast<void>(records.decodeUpstream({"servers/i-1", text, 1}));
-  static_cast<void>(records.decodeConfiguration({"config/main", text, 1}));
+  static_cast<void>(decodeConfiguration(records, {"config/main", text, 1}));
   static_cast<void>(users::ObjectDialect().parsePage("servers/", text));
   static_cast<void>(users::parseNodeSettings("f", text));
   static_cast<void>(parseMember("m", text));
--- a/src/edge/edge_adapter.h
+++ b/src/edge/edge_adapter.h
@@ -8,6 +8,7 @@
 #define BORAGEBRIDGE_EDGE_EDGE_ADAPTER_H
 
 #include "boragebridge/platform_client.h"
+#include "edge/configuration_text.h"
 #include "edge/flow_packet.h"
 #include "edge/records.h"
 
@@ -67,10 +68,18 @@
   /// InvalidArgument, with the reason, for a record that cannot be used.
   virtual auto decodeUpstream(const StoredObject &o) const
       -> absl::StatusOr<UpstreamRecord> = 0;
-  /// InvalidArgument as for decodeUpstream(). NotFound for an object under the
-  /// prefix that is not the configuration.
-  virtual auto decodeConfiguration(const StoredObject &o) const
+  /// Splits the configuration \p o, which outlives the result, into parts that
+  /// are decoded one by one. InvalidArgument as for decodeUpstream(). NotFound
+  /// for an object under the prefix that is not the configuration.
+  virtual auto splitConfiguration(const StoredObject &o) const
+      -> absl::StatusOr<ConfigurationText> = 0;
+  /// The configuration without its routes and services.
+  virtual auto decodeConfigurationHead(const std::string &text) const
       -> absl::StatusOr<EdgeConfiguration> = 0;
+  virtual auto decodeRoute(const std::string &text) const
+      -> absl::StatusOr<RouteRecord> = 0;
+  virtual auto decodeService(const std::string &text) const
+      -> absl::StatusOr<ServiceRecord> = 0;
 };
 
 /// The part of \p key that follows \p prefix.
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -1,7 +1,6 @@
 #include "edge/edge_views.h"
 
 #include "edge/edge_events.h"
-#include "edge/flow_log.h"
 #include "store/platform_events.h"
 
 #include <algorithm>
@@ -19,7 +18,7 @@
                      EdgeViewsOptions opt)
     : Time(time), Log(log), Platform(platform), Format(format),
       Directory(directory), Quota(quota), Options(std::move(opt)),
-      Tree(Options.Self),
+      Parts(format), Tree(Options.Self),
       Discovery([this] { putSelf(0, Time.now()); }, makeMemberReader(),
                 [this](const auto &it) { onMembersRead(it); },
                 Options.Discovery),
@@ -32,8 +31,8 @@
       Configurations({platform, time, random, log},
                      makeOptions(format.configurationPrefix()),
                      makeHandlers(format.configurationPrefix(),
-                                  {&EdgeViews::onConfiguration,
-                                   &EdgeViews::onConfiguration})),
+                                  {&EdgeViews::onConfigurationList,
+                                   &EdgeViews::onConfigurationEvents})),
       Withdrawals({platform, time, random, log},
                   makeOptions(format.withdrawalPrefix()),
                   makeHandlers(format.withdrawalPrefix(),
@@ -50,6 +49,8 @@
       Monitor(time, log, Options.Poll,
               {&Upstreams, &Configurations, &Withdrawals, &MemberWatch}),
       Expiry(Options.Self.Name, Options.Self.DataCentre) {
+  Platform.setMirrorPrefix(format.configurationPrefix(),
+                           mirrorPrefix(format.configurationPrefix()));
   Quota.waitUntil(Time.now() + Options.RestartWait);
 }
 
@@ -66,25 +67,29 @@
 
 auto EdgeViews::makeHandlers(const std::string &prefix, Handlers h)
     -> WatcherHandlers {
-  return {[this, prefix, h](const ObjectList &l) {
+  const auto mirrored = mirrorPrefix(prefix);
+  const auto isMirroredAsRead = mirrored == prefix;
+  return {[this, prefix, isMirroredAsRead, h](const ObjectList &l) {
             IsRestoredList = isRestored(prefix, l.CurrentVersion);
-            Mirror.replace(prefix, l);
+            if (isMirroredAsRead)
+              Mirror.replace(prefix, l);
             (this->*h.OnList)(l);
           },
-          [this, prefix, h](const ObjectList &l) {
-            Mirror.apply(prefix, l);
+          [this, prefix, isMirroredAsRead, h](const ObjectList &l) {
+            if (isMirroredAsRead)
+              Mirror.apply(prefix, l);
             (this->*h.OnEvents)(l);
           },
-          [this, prefix](const absl::Status &s) {
+          [this, prefix, mirrored](const absl::Status &s) {
             // A watch whose history is no longer available is not a failure of
             // the store.
             if (absl::IsOutOfRange(s))
               return;
-            Mirror.setConfirmed(prefix, false);
+            Mirror.setConfirmed(mirrored, false);
             Directory.onStoreFailure(Time.now());
           },
-          [this, prefix] { Mirror.setConfirmed(prefix, true); },
-          [this, prefix](ObjectVersion v) { Mirror.advance(prefix, v); }};
+          [this, mirrored] { Mirror.setConfirmed(mirrored, true); },
+          [this, mirrored](ObjectVersion v) { Mirror.advance(mirrored, v); }};
 }
 
 auto EdgeViews::isRestored(const std::string &prefix, ObjectVersion version)
@@ -183,12 +188,12 @@
     auto *watcher = it.second;
     if (watcher->hasView())
       continue;
-    client.list(prefix, [this, prefix, watcher, address,
-                         alive = std::weak_ptr<bool>(Alive)](
-                            const absl::StatusOr<ObjectList> &r) {
+    client.list(mirrorPrefix(prefix), [this, prefix, watcher, address,
+                                       alive = std::weak_ptr<bool>(Alive)](
+                                          const absl::StatusOr<ObjectList> &r) {
       if (alive.expired() || !r.ok() || !watcher->adopt(*r))
         return;
-      Mirror.setConfirmed(prefix, false);
+      Mirror.setConfirmed(mirrorPrefix(prefix), false);
       Log.write(events::ViewAdopted, {{"prefix", prefix},
                                       {"from", toString(address)},
                                       {"version", toText(r->CurrentVersion)}});
@@ -277,47 +282,6 @@
                          tagOf(r.Name, r.StartedAt)))}});
 }
 
-auto EdgeViews::onConfiguration(const ObjectList &l) -> void {
-  const auto begin = Time.now();
-  for (const auto &it : l.Events) {
-    if (it.Removed)
-      continue;
-    auto c = Format.decodeConfiguration(it.Object);
-    if (absl::IsNotFound(c.status()))
-      continue;
-    if (!c.ok()) {
-      logRefused(it.Object, c.status());
-      continue;
-    }
-    applyConfiguration(*std::move(c), l, begin);
-  }
-}
-
-auto EdgeViews::applyConfiguration(EdgeConfiguration c, const ObjectList &l,
-                                   TimePoint begin) -> void {
-  const auto version = c.Version;
-  const auto routes = c.Routes.size();
-  if (!Directory.setConfiguration(std::move(c))) {
-    Log.write(events::EdgeConfigurationOlder,
-              {{"version", std::to_string(version)},
-               {"in_force", std::to_string(Directory.configuration().Version)},
-               {"store_version", toText(l.CurrentVersion)}});
-    return;
-  }
-  const auto reading = l.Transfer.Parsing + (Time.now() - begin);
-  ConfigurationCounts.ReceivedBytes += l.Transfer.Bytes;
-  ConfigurationCounts.Receiving += l.Transfer.Receiving;
-  ConfigurationCounts.Reading += reading;
-  Log.write(events::EdgeConfigurationInForce,
-            {{"version", std::to_string(version)},
-             {"routes", std::to_string(routes)},
-             {"from", toString(l.Transfer.From)},
-             {"store_version", toText(l.CurrentVersion)},
-             {"bytes", std::to_string(l.Transfer.Bytes)},
-             {"receive_ms", inMilliseconds(l.Transfer.Receiving)},
-             {"read_ms", inMilliseconds(reading)}});
-}
-
 auto EdgeViews::onWithdrawalList(const ObjectList &l) -> void {
   if (IsRestoredList) {
     HeldWithdrawals.insert(Withdrawn.begin(), Withdrawn.end());
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -15,6 +15,7 @@
 #define BORAGEBRIDGE_EDGE_EDGE_VIEWS_H
 
 #include "edge/cold_start_quota.h"
+#include "edge/configuration_parts.h"
 #include "edge/edge_adapter.h"
 #include "edge/member_expiry.h"
 #include "edge/mirror_tree.h"
@@ -141,10 +142,21 @@
   auto isRestored(const std::string &prefix, ObjectVersion version) -> bool;
   auto onUpstreamList(const ObjectList &l) -> void;
   auto onUpstreamEvents(const ObjectList &l) -> void;
-  auto onConfiguration(const ObjectList &l) -> void;
-  /// Puts \p c, which was read from \p l since \p begin, into force.
-  auto applyConfiguration(EdgeConfiguration c, const ObjectList &l,
-                          TimePoint begin) -> void;
+  /// The prefix below which mirrors serve the objects below \p prefix.
+  auto mirrorPrefix(const std::string &prefix) const -> std::string;
+  auto onConfigurationList(const ObjectList &l) -> void;
+  auto onConfigurationEvents(const ObjectList &l) -> void;
+  /// A list or events of the store, which has the configuration in one piece.
+  auto onConfigurationDocument(const ObjectList &l) -> void;
+  /// The parts of the last configuration in \p l, complete; logs those that
+  /// cannot be split.
+  auto splitConfiguration(const ObjectList &l) -> std::optional<ObjectList>;
+  /// Replaces all parts by \p parts, which were taken from \p read since
+  /// \p begin.
+  auto replaceConfiguration(const ObjectList &parts, const ObjectList &read,
+                            TimePoint begin) -> void;
+  /// Puts the present parts, which follow \p read, into force.
+  auto applyConfiguration(const ObjectList &read, TimePoint begin) -> void;
   auto onWithdrawalList(const ObjectList &l) -> void;
   auto onWithdrawalEvents(const ObjectList &l) -> void;
   /// Passes the withdrawn data centres on to the directory.
@@ -192,6 +204,7 @@
   ColdStartQuota &Quota;
   EdgeViewsOptions Options;
   ObjectMirror Mirror;
+  ConfigurationParts Parts;
   ConfigurationTotals ConfigurationCounts;
   MirrorTree Tree;
   std::set<std::string> Withdrawn;
--- a/src/edge_model/json_record_format.cpp
+++ b/src/edge_model/json_record_format.cpp
@@ -59,20 +59,33 @@
   return r;
 }
 
-auto JsonRecordFormat::decodeConfiguration(const StoredObject &o) const
+auto JsonRecordFormat::splitConfiguration(const StoredObject &o) const
+    -> absl::StatusOr<ConfigurationText> {
+  return splitConfigurationText(o.Value, {"routes", "name"},
+                                {"services", "service"});
+}
+
+auto JsonRecordFormat::decodeConfigurationHead(const std::string &text) const
     -> absl::StatusOr<EdgeConfiguration> {
-  return readJson(o.Value, [](const json::value &v) {
+  return readJson(text, [](const json::value &v) {
     EdgeConfiguration c;
     c.Version = v.at("version").to_number<std::uint64_t>();
     c.IdleTimeout = milliseconds(v.at("idle_ms").to_number<std::int64_t>());
-    for (const auto &it : v.at("routes").as_array())
-      c.Routes.push_back(parseRoute(it));
-    for (const auto &it : v.at("services").as_array())
-      c.Services.push_back(
-          {ServiceId{it.at("service").to_number<std::uint64_t>()},
-           it.at("cold_per_second").to_number<double>()});
     return c;
   });
 }
 
+auto JsonRecordFormat::decodeRoute(const std::string &text) const
+    -> absl::StatusOr<RouteRecord> {
+  return readJson(text, parseRoute);
+}
+
+auto JsonRecordFormat::decodeService(const std::string &text) const
+    -> absl::StatusOr<ServiceRecord> {
+  return readJson(text, [](const json::value &v) {
+    return ServiceRecord{ServiceId{v.at("service").to_number<std::uint64_t>()},
+                         v.at("cold_per_second").to_number<double>()};
+  });
+}
+
 } // namespace boragebridge::edge_model
--- a/src/store/mirrored_platform.cpp
+++ b/src/store/mirrored_platform.cpp
@@ -151,7 +151,7 @@
 auto MirroredPlatform::listParent(const std::string &prefix,
                                   Callback<ObjectList> done) -> void {
   ++ParentCalls;
-  Clients.at(*Parent)->list(prefix, std::move(done));
+  Clients.at(*Parent)->list(mirrorPrefix(prefix), std::move(done));
 }
 
 auto MirroredPlatform::list(std::string prefix, Callback<ObjectList> done)
@@ -159,15 +159,16 @@
   if (!hasParent())
     return listStore(prefix, std::move(done));
   ++ParentCalls;
+  const auto atMirror = mirrorPrefix(prefix);
   Clients.at(*Parent)->list(
-      prefix, withStoreFallback(
-                  prefix, std::move(done),
-                  {[prefix](PlatformClient &other, Callback<ObjectList> f) {
-                     other.list(prefix, std::move(f));
-                   },
-                   [this, prefix](Duration, Callback<ObjectList> f) {
-                     listStore(prefix, std::move(f));
-                   }}));
+      atMirror, withStoreFallback(
+                    prefix, std::move(done),
+                    {[atMirror](PlatformClient &other, Callback<ObjectList> f) {
+                       other.list(atMirror, std::move(f));
+                     },
+                     [this, prefix](Duration, Callback<ObjectList> f) {
+                       listStore(prefix, std::move(f));
+                     }}));
 }
 
 auto MirroredPlatform::watch(std::string prefix, ObjectVersion after,
@@ -175,12 +176,13 @@
   if (!hasParent())
     return watchStoreDirectly(prefix, after, wait, std::move(done));
   ++ParentCalls;
+  const auto atMirror = mirrorPrefix(prefix);
   Clients.at(*Parent)->watch(
-      prefix, after, std::min(wait, Options.MaxParentWait),
+      atMirror, after, std::min(wait, Options.MaxParentWait),
       withStoreFallback(
           prefix, std::move(done),
-          {[prefix, after](PlatformClient &other, Callback<ObjectList> f) {
-             other.watch(prefix, after, Duration::zero(), std::move(f));
+          {[atMirror, after](PlatformClient &other, Callback<ObjectList> f) {
+             other.watch(atMirror, after, Duration::zero(), std::move(f));
            },
            [this, prefix, after, wait](Duration limit, Callback<ObjectList> f) {
              watchStore(prefix, after, std::min(wait, limit), std::move(f));
--- a/src/store/mirrored_platform.h
+++ b/src/store/mirrored_platform.h
@@ -65,6 +65,17 @@
       -> std::unique_ptr<PlatformClient> {
     return MakeClient(address, MirrorView::Any);
   }
+  /// Mirrors serve the objects below \p prefix of the store in another form,
+  /// below \p mirrorPrefix.
+  auto setMirrorPrefix(const std::string &prefix, std::string mirrorPrefix)
+      -> void {
+    MirrorPrefixes[prefix] = std::move(mirrorPrefix);
+  }
+  /// The prefix below which mirrors serve the objects below \p prefix.
+  auto mirrorPrefix(const std::string &prefix) const -> const std::string & {
+    const auto it = MirrorPrefixes.find(prefix);
+    return it == MirrorPrefixes.end() ? prefix : it->second;
+  }
   /// Sends all later lists and watches to the mirror at \p parent; if unset, to
   /// the store.
   auto setParent(std::optional<Endpoint> parent) -> void;
@@ -142,6 +153,8 @@
   OnParentFailed ParentFailed;
   MirroredPlatformOptions Options;
   StoreProbe Probe;
+  /// By the prefix of the store.
+  std::map<std::string, std::string> MirrorPrefixes;
   std::optional<Endpoint> Parent;
   /// The clients of all parents so far. None is destroyed, as a client drops
   /// its open calls when it is destroyed.
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -25,6 +25,20 @@
          R"(","warmupLeftMs":0,"born":5})";
 }
 
+/// A configuration of \p routes routes, the last one with another port.
+auto largeConfiguration(int version, int routes, int lastPort) -> std::string {
+  std::string out = R"({"version":)" + std::to_string(version) +
+                    R"(,"services":[{"name":"s"}],"limits":{},"routes":[)";
+  for (int i = 0; i < routes; ++i) {
+    const auto port = i + 1 == routes ? lastPort : 443;
+    out += (i == 0 ? "" : ",") + (R"({"name":"r)" + std::to_string(i)) +
+           R"(","host":"198.18.)" + std::to_string(i / 250) + '.' +
+           std::to_string(i % 250) + R"(","pathPrefix":"/)" +
+           std::to_string(port) + R"(/","service":"s"})";
+  }
+  return out + "]}";
+}
+
 struct ViewsFixture {
   ScriptedStore Store;
   ManualClock Time;
@@ -182,10 +196,13 @@
   views.tick(Time.now());
   views.onMirrorAdvertised({0x0A000002, 8166});
   BOOST_TEST_REQUIRE(Peers.size() == 1U);
-  for (const auto *it : {"config/", "servers/", "evacuations/", "instances/"})
+  const std::string parts(ConfigurationPartsPrefix);
+  for (const auto &it :
+       {parts, std::string("servers/"), std::string("evacuations/"),
+        std::string("instances/")})
     calls[it] = Peers[0]->take(it);
-  calls["config/"].Done(
-      ObjectList{{{{"config/main", Configuration, 3}, false}}, 9});
+  calls[parts].Done(
+      *splitIntoObjects(Format, {"config/main", Configuration, 3}, 9));
   calls["servers/"].Done(
       ObjectList{{{{"servers/i-1", upstreamText(1), 4}, false}}, 9});
   calls["evacuations/"].Done(ObjectList{{}, 9});
@@ -288,7 +305,8 @@
   BOOST_TEST_REQUIRE(Peers.size() == 1U);
   Peers[0]->answer("instances/", ObjectList{{}, 20});
   Peers[0]->answer(
-      "config/", ObjectList{{{{"config/main", Configuration, 3}, false}}, 20});
+      std::string(ConfigurationPartsPrefix),
+      *splitIntoObjects(Format, {"config/main", Configuration, 3}, 20));
   Peers[0]->answer(
       "servers/",
       ObjectList{{{{"servers/i-1", upstreamText(1), 4}, false}}, 20});
@@ -490,6 +508,81 @@
   BOOST_TEST(Views.mirror().list("servers/").ok());
 }
 
+// Each version was sent whole over each link of the tree, and read whole by
+// each instance: 6 s to the readers of one weak parent, and pauses of 0.8 s.
+BOOST_AUTO_TEST_CASE(ChangeOfOneRouteCostsReadersThatRouteAlone) {
+  constexpr int Routes = 3000;
+  const std::string prefix(ConfigurationPartsPrefix);
+  start();
+  const auto answer = [&](ObjectVersion at, int version, int lastPort) {
+    Store.answer(
+        "config/",
+        ObjectList{{{{"config/main",
+                      largeConfiguration(version, Routes, lastPort), at},
+                     false}},
+                   at});
+    advance(seconds(1));
+  };
+  answer(12, 4, 443);
+  answer(15, 5, 8443);
+  const auto changes = Views.mirror().changes(prefix, 12);
+  BOOST_TEST_REQUIRE(changes.ok());
+  BOOST_TEST(changes->CurrentVersion == 15U);
+  BOOST_TEST(changes->Events.size() == 2U);
+  std::size_t n = 0;
+  for (const auto &it : changes->Events)
+    n += it.Object.Value.size();
+  BOOST_TEST(n < 300U);
+  BOOST_TEST(Directory.route({0xC6120BF9, 8443}) != nullptr);
+  BOOST_TEST(Directory.route({0xC6120BF9, 443}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ReaderOfAMirrorFollowsTheParts) {
+  const std::string prefix(ConfigurationPartsPrefix);
+  start();
+  const auto parts = splitIntoObjects(
+      Format, {"config/main", largeConfiguration(7, 3, 80), 12}, 12);
+  BOOST_TEST_REQUIRE(parts.ok());
+  Store.answer("config/", *parts);
+  BOOST_TEST(Directory.configuration().Version == 7U);
+  BOOST_TEST(Directory.configuration().Routes.size() == 4U);
+  advance(seconds(1));
+  Store.answer(
+      "config/",
+      ObjectList{
+          {{{prefix + "routes/r0", "", 14}, true},
+           {{prefix + "head/", R"({"version":8,"limits":{}})", 1}, false}},
+          14});
+  BOOST_TEST(Directory.configuration().Version == 8U);
+  BOOST_TEST(Directory.route({0xC6120000, 443}) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationWithAnUnreadableRouteIsNotInForce) {
+  start();
+  auto text = largeConfiguration(9, 3, 80);
+  text.replace(text.find("/80/"), 4, "/no/");
+  Store.answer("config/", ObjectList{{{{"config/main", text, 12}, false}}, 12});
+  BOOST_TEST(Directory.configuration().Version == 3U);
+  advance(seconds(1));
+  Store.answer(
+      "config/",
+      ObjectList{{{{"config/main", largeConfiguration(10, 3, 80), 13}, false}},
+                 13});
+  BOOST_TEST(Directory.configuration().Version == 10U);
+}
+
+// Several versions arrive together after an interruption.
+BOOST_AUTO_TEST_CASE(OnlyTheNewestOfSeveralVersionsIsRead) {
+  start();
+  Store.answer(
+      "config/",
+      ObjectList{{{{"config/main", largeConfiguration(4, 2, 80), 11}, false},
+                  {{"config/main", largeConfiguration(6, 5, 80), 12}, false}},
+                 12});
+  BOOST_TEST(Directory.configuration().Version == 6U);
+  BOOST_TEST(Directory.configuration().Routes.size() == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
--- a/test/edge_model/json_record_format_test.cpp
+++ b/test/edge_model/json_record_format_test.cpp
@@ -1,3 +1,4 @@
+#include "edge/configuration_parts.h"
 #include "edge/upstream_record_text.h"
 #include "edge_model/json_record_format.h"
 
@@ -30,8 +31,8 @@
   c.Routes = {{"r", {1, 2}, {{ServiceId{3}, 4}}}};
   c.Services = {{ServiceId{3}, 0.5}};
   c.IdleTimeout = std::chrono::seconds(9);
-  const auto read = JsonRecordFormat().decodeConfiguration(
-      {"configurations/main", formatConfiguration(c), 1});
+  const auto read = decodeConfiguration(
+      JsonRecordFormat(), {"configurations/main", formatConfiguration(c), 1});
   BOOST_TEST_REQUIRE(read.ok());
   BOOST_TEST(read->Version == 5U);
   BOOST_TEST((read->Routes.at(0).Address == Endpoint{1, 2}));
@@ -42,7 +43,7 @@
 
 BOOST_AUTO_TEST_CASE(InvalidRecordsAreRejected) {
   BOOST_TEST(!JsonRecordFormat().decodeUpstream({"upstreams/u", "{}", 1}).ok());
-  BOOST_TEST(!JsonRecordFormat().decodeConfiguration({"c", "x", 1}).ok());
+  BOOST_TEST(!decodeConfiguration(JsonRecordFormat(), {"c", "x", 1}).ok());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/store/mirrored_platform_test.cpp
+++ b/test/store/mirrored_platform_test.cpp
@@ -254,6 +254,16 @@
   BOOST_TEST(Answer.ok());
 }
 
+BOOST_AUTO_TEST_CASE(MirrorsAreReadBelowAPrefixOfTheirOwn) {
+  Platform.setMirrorPrefix("p/", "parts/");
+  Platform.setParent(Parent);
+  watch();
+  BOOST_TEST(Mirror->take("parts/").After == 7U);
+  watch();
+  Mirror->answer("parts/", absl::DeadlineExceededError("silent"));
+  BOOST_TEST(Store.take("p/").After == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "record_codec.h"
 
+#include "edge/configuration_parts.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace boragebridge::users {
@@ -85,8 +87,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(ConfigurationIsDecoded) {
-  const auto r = RecordCodec().decodeConfiguration({"config/main",
-                                                    R"({"version":7,"routes":[
+  const auto r = decodeConfiguration(RecordCodec(), {"config/main",
+                                                     R"({"version":7,"routes":[
              {"name":"a","host":"198.18.0.1","pathPrefix":"/8080/",
               "service":"s1"},
              {"name":"b","host":"198.18.0.1","pathPrefix":"/8443/",
@@ -94,7 +96,7 @@
                        {"service":"s2","weight":10}]}],
            "services":[{"name":"s1","warmupPerS":2.5}],
            "limits":{"idleTimeoutMs":15000}})",
-                                                    1});
+                                                     1});
   BOOST_TEST_REQUIRE(r.ok());
   BOOST_TEST(r->Version == 7U);
   BOOST_TEST(toString(r->Routes.at(0).Address) == "198.18.0.1:8080");
@@ -106,14 +108,14 @@
 BOOST_AUTO_TEST_CASE(UnreadablePriorityAffectsItsOwnRouteAlone) {
   constexpr auto NotStated = RouteRecord::LeastUrgent;
   const auto decode = [](const std::string &fields) {
-    return RecordCodec().decodeConfiguration(
-        {"config/main",
-         R"({"version":7,"services":[],"routes":[
+    return decodeConfiguration(RecordCodec(),
+                               {"config/main",
+                                R"({"version":7,"services":[],"routes":[
              {"name":"a","host":"198.18.0.1","pathPrefix":"/1/","service":"s",
               "priority":1,"latencyTargetMs":800},
              {"name":"b","host":"198.18.0.1","pathPrefix":"/2/","service":"s")" +
-             fields + "}]}",
-         1});
+                                    fields + "}]}",
+                                1});
   };
   for (const auto *it :
        {"", R"(,"priority":-1)", R"(,"priority":"high")", R"(,"priority":1.5)",
@@ -130,7 +132,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(OtherObjectsUnderTheConfigurationPrefixAreIgnored) {
-  const auto r = RecordCodec().decodeConfiguration({"config/else", "{}", 1});
+  const auto r = decodeConfiguration(RecordCodec(), {"config/else", "{}", 1});
   BOOST_TEST(absl::IsNotFound(r.status()));
 }
 
