An open flow is not sent to the upstream of an earlier flow of its port

Cause: an entry of the flow cache decides before the tag of the packet, and had no age limit; a port that a caller uses again more than a minute later met the entry of its earlier flow at the instances that had carried that one. Change: an entry is forgotten when the flow may be: after the configuration's idle timeout, and not before 5 s. The tag decides then. Result: EdgeForwarder/FlowOnAPortThatIsUsedAgainGoesToItsOwnUpstream failed before (i-1 instead of i-2), and passes.

--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -56,9 +56,21 @@
   return u != nullptr && u->Index == e.Index ? u : nullptr;
 }
 
+auto Forwarder::findFlow(const FlowKey &key, TimePoint now) -> FlowEntry * {
+  auto *e = Flows.find(key);
+  if (e == nullptr ||
+      now - e->SeenAt <= std::max(Directory.configuration().IdleTimeout,
+                                  Options.MinFlowMemory))
+    return e;
+  // The caller may use the port for another flow by now, which other instances
+  // may have opened.
+  e->Used = false;
+  return nullptr;
+}
+
 auto Forwarder::forwardNewFlow(const FlowPacket &p, const RouteRecord &route,
                                TimePoint now) -> EdgeDecision {
-  auto *entry = Flows.find(p.Flow);
+  auto *entry = findFlow(p.Flow, now);
   if (entry != nullptr && entry->FirstSequence == p.Sequence)
     return forwardRetransmission(p, route, *entry, now);
   // The caller may have sent more of the flow while this process was paused.
@@ -126,7 +138,7 @@
 auto Forwarder::forwardEstablished(const FlowPacket &p,
                                    const RouteRecord *route, TimePoint now)
     -> EdgeDecision {
-  auto *e = Flows.find(p.Flow);
+  auto *e = findFlow(p.Flow, now);
   const UpstreamLifetime *u = nullptr;
   auto why = EdgeReason::Pinned;
   if (e != nullptr && e->Open)
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -74,6 +74,9 @@
   /// An opening packet that no other packet of its flow follows within this
   /// time counts as unanswered.
   Duration AnswerTimeout = std::chrono::milliseconds(60);
+  /// A flow is remembered for at least this long after its last packet, which
+  /// may be sent again, also if flows may be idle for less.
+  Duration MinFlowMemory = std::chrono::seconds(5);
   /// Data that arrives again sooner was queued in this process and not
   /// retransmitted by its caller.
   Duration MinRetransmissionInterval = std::chrono::milliseconds(100);
@@ -127,6 +130,9 @@
   };
 
   auto decidePacket(const FlowPacket &p, TimePoint now) -> EdgeDecision;
+  /// The entry of the flow \p key, or null if there is none or the flow has
+  /// been idle for so long that it may be forgotten.
+  auto findFlow(const FlowKey &key, TimePoint now) -> FlowEntry *;
   auto forwardNewFlow(const FlowPacket &p, const RouteRecord &route,
                       TimePoint now) -> EdgeDecision;
   auto forwardRetransmission(const FlowPacket &p, const RouteRecord &route,
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -423,6 +423,18 @@
   }
 }
 
+// An open flow was sent to the upstream of an earlier flow of its port, which
+// reset it (review/6).
+BOOST_AUTO_TEST_CASE(FlowOnAPortThatIsUsedAgainGoesToItsOwnUpstream) {
+  start({record("i-1", 1), record("i-2", 2)});
+  PacketForwarder.decide(data(1, tagOf("i-1", seconds(1000))), now());
+  advance(seconds(16));
+  const auto d =
+      PacketForwarder.decide(data(1, tagOf("i-2", seconds(1000))), now());
+  BOOST_TEST_REQUIRE((d.Action == EdgeAction::Forward));
+  BOOST_TEST(d.Upstream->Record.Name == "i-2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
