An upstream that is gone stays gone when the store fails

Cause: each failure of a call to the store made every missing record count as one that may have expired in an outage, for 2.5 s, also if it had been missing for long, or had been removed while the store was well. Change: whether a record may have expired is decided when it disappears; a later failure gives one that may have more time, unless its time was over. Result: EdgeUpstreamDirectory/UpstreamThatIsGoneStaysGoneWhenTheStoreFails and UpstreamThatMayHaveExpiredIsGoneOnceItHadTimeToReturn failed before, and pass.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -27,7 +27,7 @@
       ++it;
       continue;
     }
-    Entries[it->second].Lifetime.MissingSince = now;
+    markMissing(Entries[it->second].Lifetime, now);
     it = ByName.erase(it);
   }
   if (!UpstreamsReceivedAt)
@@ -167,6 +167,7 @@
     return;
   u->Ended = !isLatest;
   // Counts as missing for too long from the start.
+  markMissing(*u, now);
   u->MissingSince = now - Options.MissingLimit - Duration(1);
   if (isLatest)
     Latest[r.Name] = u->Index;
@@ -181,6 +182,7 @@
   if (r.Service != u.Record.Service)
     ByServiceIsStale = true;
   u.MissingSince.reset();
+  u.MayHaveExpired = false;
   ByName[r.Name] = u.Index;
   Latest[r.Name] = u.Index;
   if (r.Address != u.Record.Address) {
@@ -264,10 +266,24 @@
   const auto it = ByName.find(name);
   if (it == ByName.end())
     return;
-  Entries[it->second].Lifetime.MissingSince = now;
+  markMissing(Entries[it->second].Lifetime, now);
   ByName.erase(it);
 }
 
+auto UpstreamDirectory::markMissing(UpstreamLifetime &u, TimePoint now) const
+    -> void {
+  u.MissingSince = now;
+  u.MayHaveExpired = now - StoreFailedAt < Options.MissingLimit;
+}
+
+auto UpstreamDirectory::onStoreFailure(TimePoint now) -> void {
+  // An upstream that had its time to return is gone, whatever the store does.
+  for (auto &it : Entries)
+    if (it.Used && isMissingTooLong(it.Lifetime, now))
+      it.Lifetime.MayHaveExpired = false;
+  StoreFailedAt = now;
+}
+
 auto UpstreamDirectory::setConfiguration(EdgeConfiguration c) -> bool {
   if (c.Version < Config.Version)
     return false;
@@ -397,8 +413,11 @@
 
 auto UpstreamDirectory::isMissingTooLong(const UpstreamLifetime &u,
                                          TimePoint now) const -> bool {
-  return u.MissingSince &&
-         now - std::max(*u.MissingSince, StoreFailedAt) > Options.MissingLimit;
+  if (!u.MissingSince)
+    return false;
+  const auto since = u.MayHaveExpired ? std::max(*u.MissingSince, StoreFailedAt)
+                                      : *u.MissingSince;
+  return now - since > Options.MissingLimit;
 }
 
 auto UpstreamDirectory::mayOpenAsLastResort(const UpstreamLifetime &u,
@@ -409,10 +428,7 @@
 
 auto UpstreamDirectory::mayOpen(const UpstreamLifetime &u, TimePoint now) const
     -> bool {
-  // A record that disappears around a store failure has most likely expired
-  // while its upstream is still running.
-  const auto isTrusted =
-      !u.MissingSince || *u.MissingSince - StoreFailedAt < Options.MissingLimit;
+  const auto isTrusted = !u.MissingSince || u.MayHaveExpired;
   return isTrusted && mayOpenAsLastResort(u, now);
 }
 
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -48,6 +48,9 @@
   TimePoint ColdUntil;
   /// When its record was found to be missing from the store.
   std::optional<TimePoint> MissingSince = {};
+  /// The record disappeared shortly after a failure of the store, so it has
+  /// most likely expired while the upstream is still running.
+  bool MayHaveExpired = false;
   /// A later lifetime has taken its name, so this one has ended.
   bool Ended = false;
   /// A lifetime that started later holds its address.
@@ -117,9 +120,10 @@
   auto setConfiguration(EdgeConfiguration c) -> bool;
   /// Replaces the set of data centres that take no new flows.
   auto setWithdrawn(std::set<DataCentreId> all, TimePoint now) -> void;
-  /// The store failed or could not be reached: an upstream whose record is
-  /// missing is not considered gone before MissingLimit after \p now.
-  auto onStoreFailure(TimePoint now) -> void { StoreFailedAt = now; }
+  /// The store failed or could not be reached: an upstream whose record may
+  /// have expired is not considered gone before MissingLimit after \p now,
+  /// unless it was before.
+  auto onStoreFailure(TimePoint now) -> void;
   /// Removes upstreams that are no longer needed. Call about once per second.
   auto expire(TimePoint now) -> void;
 
@@ -213,6 +217,8 @@
   auto isFromCopy(const UpstreamRecord &r, TimePoint now) const -> bool;
   /// Takes the records that were set aside, when that is due.
   auto takeSetAside(TimePoint now) -> void;
+  /// The record of \p u is missing from \p now on.
+  auto markMissing(UpstreamLifetime &u, TimePoint now) const -> void;
   /// Whether the record of \p u is missing for longer than MissingLimit.
   auto isMissingTooLong(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Rebuilds ByService after a lifetime was added, ended, superseded or moved
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -415,6 +415,38 @@
   BOOST_TEST(directory.isRemovedRoute(address(1)));
 }
 
+// A watch that was cut off made an upstream that was gone take flows again, for
+// as long as its record was kept (review/10).
+BOOST_AUTO_TEST_CASE(UpstreamThatIsGoneStaysGoneWhenTheStoreFails) {
+  start({record("i-1", 1)});
+  Time.advance(seconds(10));
+  Directory.removeUpstream("i-1", now());
+  const auto *u = Directory.find(tagOf("i-1", seconds(1000)));
+  Time.advance(seconds(1));
+  Directory.onStoreFailure(now());
+  BOOST_TEST(!Directory.mayOpen(*u, now()));
+  Time.advance(seconds(2));
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Directory.onStoreFailure(now());
+  BOOST_TEST(Directory.isGone(*u, now()));
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamThatMayHaveExpiredIsGoneOnceItHadTimeToReturn) {
+  start({record("i-1", 1)});
+  Time.advance(seconds(10));
+  Directory.onStoreFailure(now());
+  Directory.removeUpstream("i-1", now());
+  const auto *u = Directory.find(tagOf("i-1", seconds(1000)));
+  Time.advance(seconds(2));
+  Directory.onStoreFailure(now());
+  Time.advance(seconds(2));
+  BOOST_TEST(Directory.mayOpen(*u, now()));
+  Time.advance(seconds(1));
+  BOOST_TEST(Directory.isGone(*u, now()));
+  Directory.onStoreFailure(now());
+  BOOST_TEST(!Directory.mayOpen(*u, now()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
