--- a/src/edge/configuration_text.cpp
+++ b/src/edge/configuration_text.cpp
@@ -26,7 +26,7 @@
 static auto requireMember(const std::vector<JsonMember> &members,
                           std::string_view name)
     -> absl::StatusOr<std::string_view> {
-  const auto value = findJsonMember(members, name);
+  auto value = findJsonMember(members, name);
   if (!value.ok())
     return absl::InvalidArgumentError(value.status().message());
   return value;
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -40,8 +40,8 @@
   /// arrive in batches.
   Duration BatchDelay = std::chrono::milliseconds(250);
   /// The delay for configurations, which replaces BatchDelay. It is longer
-  /// because configurations are large and every reader of this instance's
-  /// mirror receives each one that this instance reads.
+  /// because an instance that reads the store receives the whole configuration
+  /// each time.
   Duration ConfigurationBatchDelay = std::chrono::milliseconds(500);
   /// Time in which operators write again what a restored store has lost.
   Duration RewriteTime = std::chrono::milliseconds(2500);
