A store reader compares the parts of a configuration by hash

Cause: each part's identity, key and text were made anew to find that nothing of it had changed. Change: known parts are found by a 128-bit hash of their text; identities and keys are made for changed parts alone. Brackets are skipped by a table.

--- a/src/edge/configuration_parts.cpp
+++ b/src/edge/configuration_parts.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <xxhash.h>
+
 namespace boragebridge {
 
 namespace {
@@ -20,32 +22,27 @@
   return key;
 }
 
-auto isOfKind(const std::string &key, std::string_view kind) -> bool {
-  return key.compare(ConfigurationPartsPrefix.size(), kind.size(), kind) == 0;
-}
-
-auto addParts(std::string_view kind,
-              const std::vector<ConfigurationPart> &parts,
-              std::vector<ObjectEvent> &out) -> void {
-  for (const auto &it : parts)
-    out.push_back(
-        {{keyOf(kind, it.Id), std::string(it.Text), PartVersion}, false});
+/// The kind of the part with \p key.
+auto kindOf(const std::string &key) -> std::string_view {
+  for (const auto it : {HeadKind, RouteKind, ServiceKind})
+    if (key.compare(ConfigurationPartsPrefix.size(), it.size(), it) == 0)
+      return it;
+  return {};
 }
 
 } // namespace
 
 auto splitIntoObjects(const RecordFormat &format, const StoredObject &o,
                       ObjectVersion current) -> absl::StatusOr<ObjectList> {
-  auto parts = format.splitConfiguration(o);
+  const auto text = format.splitConfiguration(o);
+  if (!text.ok())
+    return text.status();
+  auto parts = ConfigurationParts(format).changesTo(*text);
   if (!parts.ok())
     return parts.status();
   ObjectList out;
+  out.Events = *std::move(parts);
   out.CurrentVersion = current;
-  out.Events.reserve(1 + parts->Routes.size() + parts->Services.size());
-  out.Events.push_back(
-      {{keyOf(HeadKind, ""), std::move(parts->Head), PartVersion}, false});
-  addParts(RouteKind, parts->Routes, out.Events);
-  addParts(ServiceKind, parts->Services, out.Events);
   return out;
 }
 
@@ -59,12 +56,84 @@
   return parts.configuration();
 }
 
+auto ConfigurationParts::digestOf(std::string_view kind, std::string_view text)
+    -> Digest {
+  const auto seed = XXH3_64bits(kind.data(), kind.size());
+  const auto d = XXH3_128bits_withSeed(text.data(), text.size(), seed);
+  return {d.low64, d.high64};
+}
+
+auto ConfigurationParts::isUnchanged(const Digest &d, const Changes &found)
+    -> bool {
+  const auto it = ByText.find(d);
+  if (it == ByText.end())
+    return false;
+  auto &[key, part] = *it->second;
+  if (part.SeenIn == Calls || found.Keys.contains(key))
+    return false;
+  part.SeenIn = Calls;
+  return true;
+}
+
+auto ConfigurationParts::isTaken(const std::string &key,
+                                 const Changes &found) const -> bool {
+  const auto it = Known.find(key);
+  return found.Keys.contains(key) ||
+         (it != Known.end() && it->second.SeenIn == Calls);
+}
+
+auto ConfigurationParts::findChanges(std::string_view kind,
+                                     const PartTexts &parts, Changes &out)
+    -> absl::Status {
+  for (std::size_t i = 0; i < parts.Texts.size(); ++i) {
+    const auto text = parts.Texts[i];
+    if (isUnchanged(digestOf(kind, text), out))
+      continue;
+    const auto id = idOfPart(text, parts.Id);
+    if (!id.ok())
+      return id.status();
+    auto key = keyOf(kind, *id);
+    if (isTaken(key, out))
+      key += '#' + std::to_string(i);
+    out.Keys.insert(key);
+    out.Events.push_back({{key, std::string(text), PartVersion}, false});
+  }
+  return absl::OkStatus();
+}
+
+auto ConfigurationParts::changesTo(const ConfigurationText &text)
+    -> absl::StatusOr<std::vector<ObjectEvent>> {
+  ++Calls;
+  Changes found;
+  if (!isUnchanged(digestOf(HeadKind, text.Head), found)) {
+    const auto key = keyOf(HeadKind, "");
+    found.Keys.insert(key);
+    found.Events.push_back({{key, text.Head, PartVersion}, false});
+  }
+  if (auto s = findChanges(RouteKind, text.Routes, found); !s.ok())
+    return s;
+  if (auto s = findChanges(ServiceKind, text.Services, found); !s.ok())
+    return s;
+  for (const auto &[key, it] : Known)
+    if (!isTaken(key, found))
+      found.Events.push_back({{key, {}, PartVersion}, true});
+  return std::move(found.Events);
+}
+
+auto ConfigurationParts::clear() -> void {
+  Heads.clear();
+  Routes.clear();
+  Services.clear();
+  Refused.clear();
+  ByText.clear();
+  Known.clear();
+}
+
 auto ConfigurationParts::apply(const std::vector<ObjectEvent> &changes)
     -> void {
   for (const auto &it : changes) {
-    if (it.Removed)
-      erase(it.Object.Key);
-    else
+    erase(it.Object.Key);
+    if (!it.Removed)
       set(it.Object.Key, it.Object.Value);
   }
 }
@@ -81,16 +150,26 @@
 
 auto ConfigurationParts::set(const std::string &key, const std::string &text)
     -> void {
-  Refused.erase(key);
-  if (isOfKind(key, HeadKind))
+  const auto kind = kindOf(key);
+  const auto digest = digestOf(kind, text);
+  const auto it = Known.insert_or_assign(key, KnownPart{digest, 0}).first;
+  ByText.emplace(digest, &*it);
+  if (kind == HeadKind)
     keep(Heads, key, Format.decodeConfigurationHead(text));
-  else if (isOfKind(key, RouteKind))
+  else if (kind == RouteKind)
     keep(Routes, key, Format.decodeRoute(text));
-  else if (isOfKind(key, ServiceKind))
+  else if (kind == ServiceKind)
     keep(Services, key, Format.decodeService(text));
 }
 
 auto ConfigurationParts::erase(const std::string &key) -> void {
+  const auto known = Known.find(key);
+  if (known == Known.end())
+    return;
+  const auto it = ByText.find(known->second.Text);
+  if (it != ByText.end() && it->second == &*known)
+    ByText.erase(it);
+  Known.erase(known);
   Refused.erase(key);
   Heads.erase(key);
   Routes.erase(key);
--- a/src/edge/configuration_text.cpp
+++ b/src/edge/configuration_text.cpp
@@ -2,20 +2,8 @@
 
 #include "net/json_split.h"
 
-#include <unordered_set>
-
 namespace boragebridge {
 
-/// \p id, or a variant of it if an earlier element at \p index has it already.
-static auto uniqueId(std::string id, std::size_t index,
-                     std::unordered_set<std::string> &used) -> std::string {
-  if (!used.insert(id).second) {
-    id += '#' + std::to_string(index);
-    used.insert(id);
-  }
-  return id;
-}
-
 /// The JSON value \p text, a string without its quotes.
 static auto unquoted(std::string_view text) -> std::string_view {
   const auto isString = text.size() >= 2 && text.front() == '"';
@@ -33,27 +21,14 @@
 }
 
 static auto splitArray(const std::vector<JsonMember> &document,
-                       const PartArray &array)
-    -> absl::StatusOr<std::vector<ConfigurationPart>> {
+                       const PartArray &array) -> absl::StatusOr<PartTexts> {
   const auto text = requireMember(document, array.Member);
   if (!text.ok())
     return text.status();
-  const auto elements = splitJsonArray(*text);
+  auto elements = splitJsonArray(*text);
   if (!elements.ok())
     return elements.status();
-  std::vector<ConfigurationPart> out;
-  out.reserve(elements->size());
-  std::unordered_set<std::string> used;
-  for (const auto it : *elements) {
-    const auto members = splitJsonObject(it);
-    if (!members.ok())
-      return members.status();
-    const auto id = requireMember(*members, array.Id);
-    if (!id.ok())
-      return id.status();
-    out.push_back({uniqueId(std::string(unquoted(*id)), out.size(), used), it});
-  }
-  return out;
+  return PartTexts{*std::move(elements), array.Id};
 }
 
 /// The members of \p document but for the arrays, as the text of an object.
@@ -78,14 +53,25 @@
   const auto document = splitJsonObject(text);
   if (!document.ok())
     return document.status();
-  auto routeParts = splitArray(*document, routes);
-  if (!routeParts.ok())
-    return routeParts.status();
-  auto serviceParts = splitArray(*document, services);
-  if (!serviceParts.ok())
-    return serviceParts.status();
+  auto routeTexts = splitArray(*document, routes);
+  if (!routeTexts.ok())
+    return routeTexts.status();
+  auto serviceTexts = splitArray(*document, services);
+  if (!serviceTexts.ok())
+    return serviceTexts.status();
   return ConfigurationText{joinHead(*document, routes, services),
-                           *std::move(routeParts), *std::move(serviceParts)};
+                           *std::move(routeTexts), *std::move(serviceTexts)};
+}
+
+auto idOfPart(std::string_view part, std::string_view id)
+    -> absl::StatusOr<std::string> {
+  const auto members = splitJsonObject(part);
+  if (!members.ok())
+    return members.status();
+  const auto value = requireMember(*members, id);
+  if (!value.ok())
+    return value.status();
+  return std::string(unquoted(*value));
 }
 
 } // namespace boragebridge
--- a/src/edge/configuration_text.h
+++ b/src/edge/configuration_text.h
@@ -20,28 +20,34 @@
   std::string_view Id;
 };
 
-/// The text of one route or service.
-struct ConfigurationPart {
-  /// Unique among the parts of its kind; spelled as in the text.
-  std::string Id;
-  std::string_view Text;
+/// The texts of all routes, or of all services.
+struct PartTexts {
+  std::vector<std::string_view> Texts;
+  /// The member that identifies a part.
+  std::string_view Id;
 };
 
 /// The parts of a configuration. Their texts refer to the text that was split.
 struct ConfigurationText {
   /// A JSON object with all members but the routes and services.
   std::string Head;
-  std::vector<ConfigurationPart> Routes;
-  std::vector<ConfigurationPart> Services;
+  PartTexts Routes;
+  PartTexts Services;
 };
 
 /// Splits the JSON object \p text, which outlives the result. Returns
-/// InvalidArgument if it is not an object, an array is missing, or an element
-/// has no identity. The parts themselves are not checked.
+/// InvalidArgument if it is not an object or an array is missing. The parts
+/// themselves are not checked.
 auto splitConfigurationText(std::string_view text, const PartArray &routes,
                             const PartArray &services)
     -> absl::StatusOr<ConfigurationText>;
 
+/// The value of the member \p id of the JSON object \p part, as it is spelled
+/// there, a string without its quotes. Returns InvalidArgument if there is
+/// none.
+auto idOfPart(std::string_view part, std::string_view id)
+    -> absl::StatusOr<std::string>;
+
 } // namespace boragebridge
 
 #endif
--- a/src/edge/edge_views.h
+++ b/src/edge/edge_views.h
@@ -148,13 +148,10 @@
   auto onConfigurationEvents(const ObjectList &l) -> void;
   /// A list or events of the store, which has the configuration in one piece.
   auto onConfigurationDocument(const ObjectList &l) -> void;
-  /// The parts of the last configuration in \p l, complete; logs those that
-  /// cannot be split.
-  auto splitConfiguration(const ObjectList &l) -> std::optional<ObjectList>;
-  /// Replaces all parts by \p parts, which were taken from \p read since
-  /// \p begin.
-  auto replaceConfiguration(const ObjectList &parts, const ObjectList &read,
-                            TimePoint begin) -> void;
+  /// What the last configuration in \p l changes; logs those that cannot be
+  /// split. Empty if there is none.
+  auto configurationChanges(const ObjectList &l)
+      -> std::optional<std::vector<ObjectEvent>>;
   /// Puts the present parts, which follow \p read, into force.
   auto applyConfiguration(const ObjectList &read, TimePoint begin) -> void;
   auto onWithdrawalList(const ObjectList &l) -> void;
--- a/src/edge/edge_views_configuration.cpp
+++ b/src/edge/edge_views_configuration.cpp
@@ -15,17 +15,19 @@
              : prefix;
 }
 
-auto EdgeViews::splitConfiguration(const ObjectList &l)
-    -> std::optional<ObjectList> {
+auto EdgeViews::configurationChanges(const ObjectList &l)
+    -> std::optional<std::vector<ObjectEvent>> {
   // Of several versions, the last one that can be read.
   for (auto it = l.Events.rbegin(); it != l.Events.rend(); ++it) {
     if (it->Removed)
       continue;
-    auto parts = splitIntoObjects(Format, it->Object, l.CurrentVersion);
-    if (parts.ok())
-      return *std::move(parts);
-    if (!absl::IsNotFound(parts.status()))
-      logRefused(it->Object, parts.status());
+    const auto text = Format.splitConfiguration(it->Object);
+    if (absl::IsNotFound(text.status()))
+      continue;
+    auto changes = text.ok() ? Parts.changesTo(*text) : text.status();
+    if (changes.ok())
+      return *std::move(changes);
+    logRefused(it->Object, changes.status());
   }
   return std::nullopt;
 }
@@ -37,9 +39,21 @@
 }
 
 auto EdgeViews::onConfigurationList(const ObjectList &l) -> void {
-  if (hasParts(l))
-    return replaceConfiguration(l, l, Time.now());
-  onConfigurationDocument(l);
+  const std::string prefix(ConfigurationPartsPrefix);
+  if (!hasParts(l)) {
+    // The versions of an earlier era say nothing about those of a later one.
+    if (IsRestoredList)
+      Parts.clear();
+    onConfigurationDocument(l);
+    if (!Parts.isEmpty())
+      Mirror.setConfirmed(prefix, true);
+    return;
+  }
+  const auto begin = Time.now();
+  const auto changes = Mirror.replace(prefix, l);
+  Parts.apply(changes);
+  if (!changes.empty())
+    applyConfiguration(l, begin);
 }
 
 auto EdgeViews::onConfigurationEvents(const ObjectList &l) -> void {
@@ -53,19 +67,17 @@
 
 auto EdgeViews::onConfigurationDocument(const ObjectList &l) -> void {
   const auto begin = Time.now();
-  if (const auto parts = splitConfiguration(l))
-    return replaceConfiguration(*parts, l, begin);
-  Mirror.advance(std::string(ConfigurationPartsPrefix), l.CurrentVersion);
-}
-
-auto EdgeViews::replaceConfiguration(const ObjectList &parts,
-                                     const ObjectList &read, TimePoint begin)
-    -> void {
-  const auto changes =
-      Mirror.replace(std::string(ConfigurationPartsPrefix), parts);
-  Parts.apply(changes);
-  if (!changes.empty())
-    applyConfiguration(read, begin);
+  const std::string prefix(ConfigurationPartsPrefix);
+  auto changes = configurationChanges(l);
+  if (!changes || changes->empty())
+    return Mirror.advance(prefix, l.CurrentVersion);
+  const ObjectList parts{*std::move(changes), l.CurrentVersion};
+  if (Parts.isEmpty())
+    Mirror.replace(prefix, parts);
+  else
+    Mirror.apply(prefix, parts);
+  Parts.apply(parts.Events);
+  applyConfiguration(l, begin);
 }
 
 auto EdgeViews::applyConfiguration(const ObjectList &read, TimePoint begin)
--- a/src/net/json_split.cpp
+++ b/src/net/json_split.cpp
@@ -1,12 +1,24 @@
 #include "net/json_split.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 
 namespace boragebridge {
 
 namespace {
 
+/// Whether \p c is a quote or a bracket, outside of strings.
+auto isStructural(char c) -> bool {
+  static constexpr auto Table = [] {
+    std::array<bool, 256> out{};
+    for (const auto it : {'"', '[', ']', '{', '}'})
+      out[static_cast<unsigned char>(it)] = true;
+    return out;
+  }();
+  return Table[static_cast<unsigned char>(c)];
+}
+
 /// Reads the parts of one array or object from front to back.
 class Splitter {
 public:
@@ -27,23 +39,19 @@
     skipSpace();
     const auto begin = Pos;
     auto end = begin;
-    std::size_t depth = 0;
-    for (; Pos < Text.size(); ++Pos) {
+    while (Pos < Text.size()) {
       const auto c = Text[Pos];
-      if (depth == 0 && (c == ',' || c == ':' || c == ']' || c == '}'))
+      if (c == ',' || c == ':' || c == ']' || c == '}')
         break;
-      if (c == '"') {
-        if (!skipString())
-          return {};
-      } else if (c == '[' || c == '{') {
-        ++depth;
-      } else if (c == ']' || c == '}') {
-        --depth;
-      }
+      if (c == '"' && !skipString())
+        return {};
+      if (isOpening(c) && !skipNested())
+        return {};
+      ++Pos;
       if (!isSpace(c))
-        end = Pos + 1;
+        end = Pos;
     }
-    return depth == 0 ? Text.substr(begin, end - begin) : std::string_view();
+    return Text.substr(begin, end - begin);
   }
 
   /// Whether nothing but white space is left.
@@ -57,11 +65,33 @@
     return c == ' ' || c == '\n' || c == '\r' || c == '\t';
   }
 
+  static auto isOpening(char c) -> bool { return c == '[' || c == '{'; }
+
   auto skipSpace() -> void {
     while (Pos < Text.size() && isSpace(Text[Pos]))
       ++Pos;
   }
 
+  /// Moves from an opening bracket to the one that closes it. Returns false if
+  /// there is none.
+  auto skipNested() -> bool {
+    std::size_t depth = 0;
+    for (; Pos < Text.size(); ++Pos) {
+      const auto c = Text[Pos];
+      if (!isStructural(c))
+        continue;
+      if (c == '"') {
+        if (!skipString())
+          return false;
+      } else if (isOpening(c)) {
+        ++depth;
+      } else if (--depth == 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /// Moves from the opening quote of a string to its closing one. Returns false
   /// if there is none.
   auto skipString() -> bool {
