--- a/test/edge/configuration_parts_test.cpp
+++ b/test/edge/configuration_parts_test.cpp
@@ -32,8 +32,10 @@
     return *changes;
   }
   auto ports() const -> std::vector<std::uint16_t> {
+    const auto c = Parts.configuration();
+    BOOST_TEST_REQUIRE(c.ok());
     std::vector<std::uint16_t> out;
-    for (const auto &it : Parts.configuration()->Routes)
+    for (const auto &it : c->Routes)
       out.push_back(it.Address.Port);
     return out;
   }
