A test of the server's side of slow transfers

Cause: the change that gives up a response only without progress had a test of the reader alone; the server, which had given up a reader after 5 s, had none. Change: a client takes 32 MiB in steps, for longer than the time limit.

--- a/test/net/http_server_test.cpp
+++ b/test/net/http_server_test.cpp
@@ -5,6 +5,8 @@
 #include "net/io_fixture.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -128,6 +130,36 @@
   BOOST_TEST((r.status().code() == absl::StatusCode::kUnavailable));
 }
 
+// A reader of a mirror with a slow link was given up while it took a response.
+BOOST_AUTO_TEST_CASE(SlowClientThatMakesProgressGetsTheWholeResponse) {
+  constexpr std::size_t BodyBytes = std::size_t{32} << 20;
+  constexpr std::size_t ChunkBytes = std::size_t{2} << 20;
+  constexpr auto Pause = std::chrono::milliseconds(60);
+  Shared = std::make_shared<const std::string>(BodyBytes, 'x');
+  auto s = connect();
+  boost::asio::write(
+      s, boost::asio::buffer(std::string("GET /shared HTTP/1.1\r\n\r\n")));
+  std::size_t received = 0;
+  std::string chunk(ChunkBytes, '\0');
+  auto ended = false;
+  boost::asio::steady_timer timer(Io);
+  std::function<void()> read = [&] {
+    boost::asio::async_read(s, boost::asio::buffer(chunk),
+                            [&](auto ec, std::size_t n) {
+                              received += n;
+                              ended = ec || received >= BodyBytes;
+                              timer.expires_after(Pause);
+                              timer.async_wait([&](auto) {
+                                if (!ended)
+                                  read();
+                              });
+                            });
+  };
+  read();
+  BOOST_REQUIRE(runUntil([&] { return ended; }));
+  BOOST_TEST(received == BodyBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
