--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -44,8 +44,9 @@
 /// After this time a client that does not send its request, or does not take
 /// its response, is given up.
 constexpr auto ServerTimeout = std::chrono::seconds(30);
-/// After this time a reader of the mirror that does not take its response is
-/// given up. Readers give up their calls sooner, and the responses may be long.
+/// After this time without progress a reader of the mirror that does not take
+/// its response is given up. Readers give up their calls sooner, and the
+/// responses may be long.
 constexpr auto MirrorServerTimeout = std::chrono::seconds(5);
 /// No request has a longer body than an address.
 constexpr std::size_t RequestBytes = 1024;
--- a/src/edge/edge_views_configuration.cpp
+++ b/src/edge/edge_views_configuration.cpp
@@ -41,7 +41,8 @@
 auto EdgeViews::onConfigurationList(const ObjectList &l) -> void {
   const std::string prefix(ConfigurationPartsPrefix);
   if (!hasParts(l)) {
-    // The versions of an earlier era say nothing about those of a later one.
+    // The mirror starts a new history, which needs all parts and not only
+    // those that have changed.
     if (IsRestoredList)
       Parts.clear();
     onConfigurationDocument(l);
@@ -92,6 +93,7 @@
     Log.write(events::EdgeConfigurationOlder,
               {{"version", std::to_string(version)},
                {"in_force", std::to_string(Directory.configuration().Version)},
+               {"from", toString(read.Transfer.From)},
                {"store_version", toText(read.CurrentVersion)}});
     return;
   }
--- a/src/store/watch_monitor.h
+++ b/src/store/watch_monitor.h
@@ -43,10 +43,10 @@
 public:
   /// Reads the changes below a prefix after a version from the store, without
   /// waiting for new ones. The result may be out of date. Has to call back
-  /// exactly once, well within a second, with an error when the store does not
-  /// respond, and with DataLoss when there are too many changes to read. If the
-  /// store was restored since the version, the result has a version of the
-  /// present era.
+  /// exactly once, with an error when the store does not begin to respond well
+  /// within a second or its response makes no progress for a second, and with
+  /// DataLoss when there are too many changes to read. If the store was
+  /// restored since the version, the result has a version of the present era.
   using Poll = std::function<void(const std::string &, ObjectVersion,
                                   PlatformClient::Callback<ObjectList>)>;
 
