A flow is offered to one upstream only

Cause: a retransmitted opening went to a second upstream when the first did not seem to answer, or when it came through an instance that had not seen the first one. A caller echoes the tag that it received last, so packets of a flow that is open at one upstream carry the tag of the other, for as long as that one repeats its answer. Only the instance that saw the handshake knew better; the next one did not. Change: a retransmitted opening goes where the first transmission went. If that upstream does not seem to answer and another one can take the flow, or if this instance does not know where the first went, the opening is reset: the caller opens another flow at once. So every tag that a caller can receive on a flow names the one upstream that may have it, and no instance has to know or to learn more than that. A reset that meets a flow which has opened meanwhile carries a sequence number that does not fit it. The model's callers take any tag now; flow_reset names the upstream of an opening and its `copy`.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -136,7 +136,7 @@
   auto onDatagram(std::span<std::byte> datagram) -> void;
   auto onDecision(const FlowPacket &p, const EdgeDecision &d,
                   std::span<std::byte> datagram) -> void;
-  auto reset(const FlowPacket &p, EdgeReason why) -> void;
+  auto reset(const FlowPacket &p, const EdgeDecision &d) -> void;
   auto handleRequest(const HttpRequest &r) -> HttpResponse;
   /// The response to an operator who asks where a new request would go.
   auto explain(const std::string &target) -> HttpResponse;
@@ -352,20 +352,20 @@
       Flows.onOpened(p, d, Views.age(Now), Now);
     return;
   case EdgeAction::Reset:
-    return reset(p, d.Reason);
+    return reset(p, d);
   case EdgeAction::Drop:
     return;
   }
 }
 
-auto EdgeServer::reset(const FlowPacket &p, EdgeReason why) -> void {
+auto EdgeServer::reset(const FlowPacket &p, const EdgeDecision &d) -> void {
   auto &buf = Resets[NextReset++ % Resets.size()];
   Socket->queue(Adapter.Packets->makeReset(p, buf),
                 Adapter.Packets->callerAddress(p.Flow.Caller));
-  if (why == EdgeReason::Overloaded)
+  if (d.Reason == EdgeReason::Overloaded)
     logTurnedAway(Log, p, Policy, Views.age(Now));
   else
-    Flows.onReset(p, why, Views.age(Now), Now);
+    Flows.onReset(p, d, Views.age(Now), Now);
 }
 
 auto EdgeServer::handleRequest(const HttpRequest &r) -> HttpResponse {
--- a/src/edge/flow_log.cpp
+++ b/src/edge/flow_log.cpp
@@ -35,11 +35,12 @@
        {"view_age_ms", inMilliseconds(viewAge)}});
 }
 
-auto FlowLog::onReset(const FlowPacket &p, EdgeReason why, Duration viewAge,
-                      TimePoint now) -> void {
+auto FlowLog::onReset(const FlowPacket &p, const EdgeDecision &d,
+                      Duration viewAge, TimePoint now) -> void {
   if (!Log.wouldWrite(events::FlowReset))
     return;
-  const auto *u = Directory.find(p.Tag);
+  // An opening carries no tag.
+  const auto *u = p.Opens ? d.Upstream : Directory.find(p.Tag);
   const auto gone =
       u == nullptr ? GoneReason::None : Directory.goneReason(*u, now);
   const auto progress =
@@ -48,7 +49,8 @@
       events::FlowReset,
       {{"caller", toString(p.Flow.Caller)},
        {"service", toString(p.Flow.Service)},
-       {"why", std::string(toString(why))},
+       {"why", std::string(toString(d.Reason))},
+       {"copy", p.Opens ? std::to_string(p.Acknowledged) : "none"},
        {"upstream", u == nullptr ? "unknown" : u->Record.Name},
        {"gone", std::string(toString(gone))},
        {"missing_ms",
--- a/src/edge/flow_log.h
+++ b/src/edge/flow_log.h
@@ -25,8 +25,8 @@
   /// of this instance's view of the store. Precondition: d.Upstream is set.
   auto onOpened(const FlowPacket &p, const EdgeDecision &d, Duration viewAge,
                 TimePoint now) -> void;
-  /// The flow of \p p was reset for the reason \p why.
-  auto onReset(const FlowPacket &p, EdgeReason why, Duration viewAge,
+  /// The flow of \p p was reset as \p d says.
+  auto onReset(const FlowPacket &p, const EdgeDecision &d, Duration viewAge,
                TimePoint now) -> void;
 
 private:
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -11,10 +11,10 @@
 auto toString(EdgeReason r) -> std::string_view {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(EdgeReason::Count)>
-      Names{"opened",        "opened_again", "pinned",      "tagged",
-            "restarted",     "no_route",     "no_upstream", "upstream_gone",
-            "upstream_dark", "unknown_tag",  "no_tag",      "not_ready",
-            "stale",         "overloaded"};
+      Names{"opened",      "opened_again",  "opening_failed", "unknown_opening",
+            "pinned",      "tagged",        "restarted",      "no_route",
+            "no_upstream", "upstream_gone", "upstream_dark",  "unknown_tag",
+            "no_tag",      "not_ready",     "stale",          "overloaded"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
@@ -72,57 +72,49 @@
                                TimePoint now) -> EdgeDecision {
   auto *entry = findFlow(p.Flow, now);
   if (entry != nullptr && entry->FirstSequence == p.Sequence)
-    return forwardRetransmission(p, route, *entry, now);
+    return forwardRetransmission(route, *entry, now);
+  if (p.isRetransmittedOpening())
+    return {EdgeAction::Reset, EdgeReason::UnknownOpening};
   // The caller may have sent more of the flow while this process was paused.
-  const auto isRetransmission = p.isRetransmittedOpening() || isPaused(now) ||
-                                (entry != nullptr && entry->Open);
+  const auto isRetransmission =
+      isPaused(now) || (entry != nullptr && entry->Open);
   const auto pick =
       Policy.pick({.Route = route, .IsRetransmission = isRetransmission}, now);
   if (pick.Upstream == nullptr)
     return {EdgeAction::Reset, pick.Reason == PickReason::Full
                                    ? EdgeReason::Overloaded
                                    : EdgeReason::NoUpstream};
-  return forwardOpening(p, route, Flows.insert(p.Flow, now), pick,
-                        EdgeReason::Opened, now);
-}
-
-/// Forwards a retransmitted opening packet. It goes to the same upstream, which
-/// may have the flow half open, unless that upstream does not answer.
-auto Forwarder::forwardRetransmission(const FlowPacket &p,
-                                      const RouteRecord &route, FlowEntry &e,
-                                      TimePoint now) -> EdgeDecision {
-  const auto *first = upstreamOf(e);
-  if (e.Open && first != nullptr)
-    return {EdgeAction::Forward, EdgeReason::Pinned, first};
-  if (first != nullptr && Directory.mayOpen(*first, now) &&
-      !Estimates.hasFailures(*first)) {
-    e.SeenAt = now;
-    e.Unanswered = false;
-    awaitAnswer(e, now);
-    Policy.onRetransmitted(*first, now);
-    return {EdgeAction::Forward, EdgeReason::OpenedAgain, first};
-  }
-  const auto pick = Policy.pick(
-      {.Route = route, .Except = first, .IsRetransmission = true}, now);
-  if (pick.Upstream == nullptr)
-    return {EdgeAction::Reset, EdgeReason::NoUpstream};
-  return forwardOpening(p, route, e, pick, EdgeReason::OpenedAgain, now);
-}
-
-auto Forwarder::forwardOpening(const FlowPacket &p, const RouteRecord &route,
-                               FlowEntry &e, const Pick &pick, EdgeReason why,
-                               TimePoint now) -> EdgeDecision {
+  auto &e = Flows.insert(p.Flow, now);
   e.Tag = pick.Upstream->Tag;
   e.Index = pick.Upstream->Index;
-  e.OpenedAt = now;
-  e.SeenAt = now;
   e.FirstSequence = p.Sequence;
   e.NextSequence = p.Sequence + 1;
-  e.Unanswered = false;
   awaitAnswer(e, now);
   // The request follows at once; until then it takes room as well.
   beginRequest(route, e, *pick.Upstream, now);
-  return {EdgeAction::Forward, why, pick.Upstream, pick.Reason};
+  return {EdgeAction::Forward, EdgeReason::Opened, pick.Upstream, pick.Reason};
+}
+
+/// Forwards a retransmitted opening packet to the upstream of the first
+/// transmission, which may have the flow half open.
+auto Forwarder::forwardRetransmission(const RouteRecord &route, FlowEntry &e,
+                                      TimePoint now) -> EdgeDecision {
+  const auto *u = upstreamOf(e);
+  if (e.Open && u != nullptr)
+    return {EdgeAction::Forward, EdgeReason::Pinned, u};
+  const auto mayOpen = u != nullptr && Directory.mayOpenAsLastResort(*u, now);
+  if (!mayOpen ||
+      (Estimates.hasFailures(*u) && Policy.hasOther(route, *u, now))) {
+    if (u != nullptr && std::exchange(e.AwaitsAnswer, false))
+      Load->onEnded(*u, e.RequestAt, now);
+    e.Used = false;
+    return {EdgeAction::Reset, EdgeReason::OpeningFailed, u};
+  }
+  e.SeenAt = now;
+  e.Unanswered = false;
+  awaitAnswer(e, now);
+  Policy.onRetransmitted(*u, now);
+  return {EdgeAction::Forward, EdgeReason::OpenedAgain, u};
 }
 
 auto Forwarder::awaitAnswer(const FlowEntry &e, TimePoint now) -> void {
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -4,7 +4,15 @@
 ///
 /// An opening packet goes to the upstream that a PlacementPolicy chooses. Every
 /// later packet goes to the upstream that its tag names, whichever instance
-/// receives it, or to the later lifetime of that upstream. A flow is reset at
+/// receives it, or to the later lifetime of that upstream.
+///
+/// A flow is offered to one upstream only: a retransmitted opening packet goes
+/// where its first transmission went, and is reset if that upstream does not
+/// seem to answer or is not known here. A second upstream would answer too, and
+/// the caller would echo the tag of whichever answered last, also while the
+/// flow is open at the other. The caller opens another flow instead.
+///
+/// A flow is reset at
 /// once if its upstream has ended, if its route was removed, or if no upstream
 /// can take it; its caller can then reconnect without delay. That its
 /// record is missing, or that another upstream has claimed its address, does
@@ -39,6 +47,13 @@
 enum class EdgeReason : std::uint8_t {
   Opened,
   OpenedAgain,
+  /// The upstream of the opening did not answer, and others may, or it takes no
+  /// new flows any more.
+  OpeningFailed,
+  /// The opening was sent before, and this instance does not know to which
+  /// upstream: the first transmission came through another instance, or was
+  /// lost.
+  UnknownOpening,
   Pinned,
   Tagged,
   /// The upstream of the flow has restarted. It answers the packet itself:
@@ -63,7 +78,7 @@
 struct EdgeDecision {
   EdgeAction Action = EdgeAction::Drop;
   EdgeReason Reason = EdgeReason::NotReady;
-  /// Set if the packet is forwarded.
+  /// Set if the packet is forwarded, and for OpeningFailed if it is known.
   const UpstreamLifetime *Upstream = nullptr;
   /// For an opening packet: why Upstream was chosen.
   PickReason Choice = PickReason::None;
@@ -135,11 +150,8 @@
   auto findFlow(const FlowKey &key, TimePoint now) -> FlowEntry *;
   auto forwardNewFlow(const FlowPacket &p, const RouteRecord &route,
                       TimePoint now) -> EdgeDecision;
-  auto forwardRetransmission(const FlowPacket &p, const RouteRecord &route,
-                             FlowEntry &e, TimePoint now) -> EdgeDecision;
-  auto forwardOpening(const FlowPacket &p, const RouteRecord &route,
-                      FlowEntry &e, const Pick &pick, EdgeReason why,
-                      TimePoint now) -> EdgeDecision;
+  auto forwardRetransmission(const RouteRecord &route, FlowEntry &e,
+                             TimePoint now) -> EdgeDecision;
   /// \p route is null if it is unknown.
   auto forwardEstablished(const FlowPacket &p, const RouteRecord *route,
                           TimePoint now) -> EdgeDecision;
--- a/src/edge/load/load_aware_policy.cpp
+++ b/src/edge/load/load_aware_policy.cpp
@@ -18,8 +18,7 @@
 }
 
 auto LoadAwarePolicy::pick(const Opening &o, TimePoint now) -> Pick {
-  // The first transmission may have opened the flow already, through another
-  // instance; only a flow that cannot be open is turned away.
+  // Only a flow that cannot be open is turned away.
   if (o.IsRetransmission || !isUnderPressure(o.Route))
     return Base.pick(o, now);
   const auto index = chooseService(o.Route, Random);
--- a/src/edge/load/load_aware_policy.h
+++ b/src/edge/load/load_aware_policy.h
@@ -83,6 +83,10 @@
 
   /// Returns PickReason::Full, and no upstream, for a flow that is turned away.
   auto pick(const Opening &o, TimePoint now) -> Pick override;
+  auto hasOther(const RouteRecord &route, const UpstreamLifetime &u,
+                TimePoint now) const -> bool override {
+    return Base.hasOther(route, u, now);
+  }
   auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
       -> void override {
     Base.onRetransmitted(u, now);
--- a/src/edge/picker.cpp
+++ b/src/edge/picker.cpp
@@ -1,5 +1,7 @@
 #include "edge/picker.h"
 
+#include <algorithm>
+
 namespace boragebridge {
 
 Picker::Picker(const UpstreamDirectory &directory, UpstreamEstimates &estimates,
@@ -13,31 +15,41 @@
 
 auto Picker::pickFrom(const Opening &o, std::size_t first, TimePoint now)
     -> Pick {
-  const auto &route = o.Route;
-  const auto *except = o.Except;
-  const auto n = route.Services.size();
+  const auto &services = o.Route.Services;
+  const auto n = services.size();
   Pick best;
   for (std::size_t i = 0; i < n && best.Upstream == nullptr; ++i)
-    best = pickOf(route.Services[(first + i) % n].Service, except, Random, now);
-  if (best.Upstream == nullptr && except != nullptr &&
-      Directory.mayOpenAsLastResort(*except, now))
-    best = {except, PickReason::Avoided};
+    best = pickOf(services[(first + i) % n].Service, Random, now);
   recordChoice(best, now);
   return best;
 }
 
 auto Picker::preview(ServiceId service, TimePoint now) const -> Pick {
   EqualFactors equal;
-  return pickOf(service, nullptr, equal, now);
+  return pickOf(service, equal, now);
 }
 
-auto Picker::pickOf(ServiceId service, const UpstreamLifetime *except,
-                    RandomSource &random, TimePoint now) const -> Pick {
+auto Picker::hasOther(const RouteRecord &route, const UpstreamLifetime &u,
+                      TimePoint now) const -> bool {
+  const auto isOther = [&](const auto &service, const auto *it) {
+    const auto reason = classify(*it, service, now);
+    return it != &u &&
+           (reason == PickReason::Best || reason == PickReason::Cold);
+  };
+  return std::any_of(
+      route.Services.begin(), route.Services.end(), [&](const auto &s) {
+        const auto &all = Directory.upstreamsOf(s.Service);
+        return std::any_of(all.begin(), all.end(), [&](const auto *it) {
+          return isOther(s.Service, it);
+        });
+      });
+}
+
+auto Picker::pickOf(ServiceId service, RandomSource &random,
+                    TimePoint now) const -> Pick {
   Pick best;
   auto bestCost = 0.0;
   for (const auto *it : Directory.upstreamsOf(service)) {
-    if (it == except)
-      continue;
     const auto reason = classify(*it, service, now);
     if (reason == PickReason::None || reason > best.Reason)
       continue;
--- a/src/edge/picker.h
+++ b/src/edge/picker.h
@@ -44,6 +44,8 @@
   auto pick(const Opening &o, TimePoint now) -> Pick override;
   /// As pick(), beginning with the service at index \p first of the route.
   auto pickFrom(const Opening &o, std::size_t first, TimePoint now) -> Pick;
+  auto hasOther(const RouteRecord &route, const UpstreamLifetime &u,
+                TimePoint now) const -> bool override;
   /// The retransmission may be the only copy that arrives, so it counts against
   /// the cold-start quota as well.
   auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
@@ -65,8 +67,8 @@
   auto recordChoice(const Pick &p, TimePoint now) -> void;
 
 private:
-  auto pickOf(ServiceId service, const UpstreamLifetime *except,
-              RandomSource &random, TimePoint now) const -> Pick;
+  auto pickOf(ServiceId service, RandomSource &random, TimePoint now) const
+      -> Pick;
   auto cost(const UpstreamLifetime &u, RandomSource &random,
             TimePoint now) const -> double;
 
--- a/src/edge/placement_policy.h
+++ b/src/edge/placement_policy.h
@@ -33,10 +33,7 @@
 /// A new flow that needs an upstream.
 struct Opening {
   const RouteRecord &Route;
-  /// The upstream that the flow was sent to before, which did not answer; null
-  /// if there is none. Set only for a retransmission.
-  const UpstreamLifetime *Except = nullptr;
-  /// The packet was sent before, so the flow may be open already.
+  /// The packet may have been sent before, so the flow may be open already.
   bool IsRetransmission = false;
 };
 
@@ -63,9 +60,13 @@
   auto operator=(const PlacementPolicy &) -> PlacementPolicy & = delete;
   virtual ~PlacementPolicy() = default;
 
-  /// Chooses an upstream for \p o. Returns o.Except only if there is no other.
-  /// The policy accounts for the choice as if the flow had been sent.
+  /// Chooses an upstream for \p o. The policy accounts for the choice as if the
+  /// flow had been sent.
   virtual auto pick(const Opening &o, TimePoint now) -> Pick = 0;
+  /// Whether an upstream other than \p u, and not suspected, can take a new
+  /// flow of \p route. Accounts for nothing.
+  virtual auto hasOther(const RouteRecord &route, const UpstreamLifetime &u,
+                        TimePoint now) const -> bool = 0;
   /// A retransmitted opening packet goes to \p u, which was chosen before.
   virtual auto onRetransmitted(const UpstreamLifetime &u, TimePoint now)
       -> void = 0;
--- a/src/edge_model/model_caller.cpp
+++ b/src/edge_model/model_caller.cpp
@@ -160,10 +160,12 @@
   auto &f = it->second;
   switch (r.Kind) {
   case ReplyKind::Accepted:
+    // A caller echoes the tag that it received last, also that of a second
+    // upstream which answers the opening.
+    f.Tag = r.Tag;
     if (f.Open)
       return;
     f.Open = true;
-    f.Tag = r.Tag;
     return sendData(f);
   case ReplyKind::Answered:
   case ReplyKind::Refused:
