The tag of a packet decides, not an earlier flow of its port

Cause: an entry of the flow cache, which is about a port, decided before the tag of the packet, which is about the flow. It did not end with its flow, whose end may come through another instance. Forgetting it after the idle timeout made the fault rarer. Change: the tag alone decides where a packet of an open flow goes. The entry held a flow to the first of two upstreams; there is one only since. An entry is used for what a packet shows of its upstream, and only if tag and sequence numbers fit; not after the end of its flow, nor for an opening that comes later than a retransmission can. SecondAnswerDoesNotMovePinnedFlow demanded that the entry goes before the tag, which is this fault; that no second upstream gets the flow is checked by FlowIsOfferedToOneUpstreamOnly, at every instance. edge_packets_pinned_total is edge_packets_known_total now; edge_ports_used_again_total is new. Related: what an entry knew of an earlier flow counted as data without an answer, against an upstream that answered; an opening on such a port was never turned away under load, and one with the sequence number of the earlier flow went to that one's upstream, also when it drained. Result: on the code before, FlowOnAPortThatIsUsedAgainSoonGoesToItsOwnUpstream failed in 8 of 8 cases (i-1 instead of i-2) and EarlierFlowOfAPortIsNoEvidenceAgainstItsUpstream with 5 failures and a silent upstream; they pass.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -407,6 +407,9 @@
     set("edge_packets_" + std::string(toString(why)) + "_total",
         "Packets by why they met their fate", PacketForwarder.count(why));
   }
+  set("edge_ports_used_again_total",
+      "Entries of flows whose caller uses the port for another flow",
+      PacketForwarder.reusedPorts());
   set("edge_packets_malformed_total", "Datagrams that are no packet",
       Malformed);
   set("edge_packets_received_total", "Datagrams", Socket->counts().Received);
--- a/src/edge/flow_cache.h
+++ b/src/edge/flow_cache.h
@@ -3,9 +3,9 @@
 /// flow replaces the least recently seen one of its bucket. No flow is lost
 /// with its entry, as the tag in its packets names the upstream.
 ///
-/// An entry pins a flow to its upstream from the first packet after the
-/// handshake. A second upstream that answers a retransmitted opening packet
-/// therefore cannot take over the flow.
+/// An entry does not decide where the packets of an open flow go. It may
+/// outlive its flow, whose end may have come through another instance, and its
+/// caller may use the port again.
 ///
 /// Allocates memory only on construction. Not thread-safe.
 #ifndef BORAGEBRIDGE_EDGE_FLOW_CACHE_H
@@ -38,6 +38,8 @@
   bool AwaitsAnswer = false;
   /// The upstream has answered the opening packet.
   bool Open = false;
+  /// The caller has ended the flow, and sends no more data.
+  bool Finished = false;
   /// The opening packet was not answered in time.
   bool Unanswered = false;
 };
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -12,7 +12,7 @@
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(EdgeReason::Count)>
       Names{"opened",      "opened_again",  "opening_failed", "unknown_opening",
-            "pinned",      "tagged",        "restarted",      "no_route",
+            "known",       "tagged",        "restarted",      "no_route",
             "no_upstream", "upstream_gone", "upstream_dark",  "unknown_tag",
             "no_tag",      "not_ready",     "stale",          "overloaded"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
@@ -71,15 +71,16 @@
 auto Forwarder::forwardNewFlow(const FlowPacket &p, const RouteRecord &route,
                                TimePoint now) -> EdgeDecision {
   auto *entry = findFlow(p.Flow, now);
-  if (entry != nullptr && entry->FirstSequence == p.Sequence)
+  const auto isKnown = entry != nullptr && !entry->Finished &&
+                       entry->FirstSequence == p.Sequence &&
+                       now - entry->OpenedAt <= Options.OpeningTime;
+  if (isKnown)
     return forwardRetransmission(route, *entry, now);
   if (p.isRetransmittedOpening())
     return {EdgeAction::Reset, EdgeReason::UnknownOpening};
-  // The caller may have sent more of the flow while this process was paused.
-  const auto isRetransmission =
-      isPaused(now) || (entry != nullptr && entry->Open);
+  // The caller may have sent the opening again while this process was paused.
   const auto pick =
-      Policy.pick({.Route = route, .IsRetransmission = isRetransmission}, now);
+      Policy.pick({.Route = route, .IsRetransmission = isPaused(now)}, now);
   if (pick.Upstream == nullptr)
     return {EdgeAction::Reset, pick.Reason == PickReason::Full
                                    ? EdgeReason::Overloaded
@@ -101,12 +102,11 @@
                                       TimePoint now) -> EdgeDecision {
   const auto *u = upstreamOf(e);
   if (e.Open && u != nullptr)
-    return {EdgeAction::Forward, EdgeReason::Pinned, u};
+    return {EdgeAction::Forward, EdgeReason::Known, u};
   const auto mayOpen = u != nullptr && Directory.mayOpenAsLastResort(*u, now);
   if (!mayOpen ||
       (Estimates.hasFailures(*u) && Policy.hasOther(route, *u, now))) {
-    if (u != nullptr && std::exchange(e.AwaitsAnswer, false))
-      Load->onEnded(*u, e.RequestAt, now);
+    endRequest(e, now);
     e.Used = false;
     return {EdgeAction::Reset, EdgeReason::OpeningFailed, u};
   }
@@ -127,20 +127,17 @@
   ++PendingCount;
 }
 
+/// Whether sequence number \p a comes after \p b, with wrap-around.
+static auto isAfter(std::uint32_t a, std::uint32_t b) -> bool {
+  return static_cast<std::int32_t>(a - b) > 0;
+}
+
 auto Forwarder::forwardEstablished(const FlowPacket &p,
                                    const RouteRecord *route, TimePoint now)
     -> EdgeDecision {
-  auto *e = findFlow(p.Flow, now);
-  const UpstreamLifetime *u = nullptr;
-  auto why = EdgeReason::Pinned;
-  if (e != nullptr && e->Open)
-    u = upstreamOf(*e);
-  if (u == nullptr) {
-    why = EdgeReason::Tagged;
-    if (p.Tag == UpstreamTag::None)
-      return {EdgeAction::Drop, EdgeReason::NoTag};
-    u = Directory.find(p.Tag);
-  }
+  if (p.Tag == UpstreamTag::None)
+    return {EdgeAction::Drop, EdgeReason::NoTag};
+  const auto *u = Directory.find(p.Tag);
   if (u == nullptr) {
     const auto isGone =
         Unknown.isOverdue(p.Tag, now) && Directory.isStable(now);
@@ -152,12 +149,11 @@
     if (u == nullptr || hasEnded(*u, now))
       return {EdgeAction::Reset, EdgeReason::UpstreamGone};
     // Only an echo of its own tag shows that the successor has the flow.
-    if (p.Tag != u->Tag)
-      return {EdgeAction::Forward, EdgeReason::Restarted, u};
+    return {EdgeAction::Forward, EdgeReason::Restarted, u};
   }
-  if (e == nullptr)
-    e = &Flows.insert(p.Flow, now);
-  observe(p, route, *e, *u, now);
+  auto &e = entryOf(p, *u, now);
+  const auto why = e.Open ? EdgeReason::Known : EdgeReason::Tagged;
+  observe(p, route, e, *u, now);
   if (hasEnded(*u, now))
     return {EdgeAction::Reset, EdgeReason::UpstreamGone};
   if (Estimates.isUnresponsive(*u, now))
@@ -165,6 +161,39 @@
   return {EdgeAction::Forward, why, u};
 }
 
+/// Whether a flow whose next byte was to be \p next may have come to \p n.
+/// Parts of a flow may come through other instances.
+static auto isNear(std::uint32_t n, std::uint32_t next) -> bool {
+  constexpr std::int32_t MaxGap = 1 << 20;
+  const auto gap = static_cast<std::int32_t>(n - next);
+  return -MaxGap < gap && gap < MaxGap;
+}
+
+/// Whether \p p, which goes to \p u, belongs to the flow of \p e, and not to a
+/// later flow of the same port.
+static auto belongsTo(const FlowPacket &p, const FlowEntry &e,
+                      const UpstreamLifetime &u) -> bool {
+  if (e.Tag != u.Tag || !isNear(p.Sequence, e.NextSequence))
+    return false;
+  if (!e.Open)
+    return true;
+  const auto isAfterEnd = e.Finished && p.Length > 0 &&
+                          isAfter(p.Sequence + p.Length, e.NextSequence + 1);
+  return isNear(p.Acknowledged, e.Acknowledged) && !isAfterEnd;
+}
+
+auto Forwarder::entryOf(const FlowPacket &p, const UpstreamLifetime &u,
+                        TimePoint now) -> FlowEntry & {
+  auto *e = findFlow(p.Flow, now);
+  if (e != nullptr && belongsTo(p, *e, u))
+    return *e;
+  if (e != nullptr) {
+    ++ReusedPorts;
+    endRequest(*e, now);
+  }
+  return Flows.insert(p.Flow, now);
+}
+
 /// Whether \p u is gone by the records and its flows get no answer.
 auto Forwarder::hasEnded(const UpstreamLifetime &u, TimePoint now) const
     -> bool {
@@ -181,11 +210,6 @@
   return running == nullptr || hasEnded(*running, now) ? nullptr : u;
 }
 
-/// Whether sequence number \p a comes after \p b, with wrap-around.
-static auto isAfter(std::uint32_t a, std::uint32_t b) -> bool {
-  return static_cast<std::int32_t>(a - b) > 0;
-}
-
 auto Forwarder::beginRequest(const RouteRecord &route, FlowEntry &e,
                              const UpstreamLifetime &u, TimePoint now) -> void {
   if (Load == nullptr)
@@ -195,6 +219,12 @@
   Load->onSent(route, u, now);
 }
 
+auto Forwarder::endRequest(FlowEntry &e, TimePoint now) -> void {
+  const auto *u = upstreamOf(e);
+  if (std::exchange(e.AwaitsAnswer, false) && u != nullptr)
+    Load->onEnded(*u, e.RequestAt, now);
+}
+
 auto Forwarder::observeAnswer(const FlowPacket &p, std::uint32_t bytes,
                               const RouteRecord *route, FlowEntry &e,
                               const UpstreamLifetime &u, TimePoint now)
@@ -222,8 +252,9 @@
                         FlowEntry &e, const UpstreamLifetime &u, TimePoint now)
     -> void {
   e.SeenAt = now;
-  if (!e.Open || e.Tag != u.Tag) {
-    pin(p, e, u, now);
+  e.Finished = e.Finished || p.Finishes || p.Resets;
+  if (!e.Open) {
+    open(p, e, u, now);
   } else if (isAfter(p.Acknowledged, e.Acknowledged)) {
     const auto bytes = p.Acknowledged - e.Acknowledged;
     const auto isRefused = observeAnswer(p, bytes, route, e, u, now);
@@ -261,13 +292,11 @@
   return isPaused(now) ? now : std::max(e.SentAt, ResumedAt);
 }
 
-/// Pins the flow to \p u. The packet echoes what \p u sent, so \p u has
-/// answered.
-auto Forwarder::pin(const FlowPacket &p, FlowEntry &e,
-                    const UpstreamLifetime &u, TimePoint now) -> void {
+/// The packet echoes what \p u sent, so \p u has answered.
+auto Forwarder::open(const FlowPacket &p, FlowEntry &e,
+                     const UpstreamLifetime &u, TimePoint now) -> void {
   const auto sawOpening = e.FirstSequence != 0;
-  e.AwaitsAnswer = e.AwaitsAnswer && e.Tag == u.Tag;
-  if (sawOpening && e.Tag == u.Tag && !e.Unanswered)
+  if (sawOpening && !e.Unanswered)
     AnswerTime = now - e.OpenedAt;
   e.Open = true;
   e.Tag = u.Tag;
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -54,7 +54,10 @@
   /// upstream: the first transmission came through another instance, or was
   /// lost.
   UnknownOpening,
-  Pinned,
+  /// An open flow that this instance has seen before.
+  Known,
+  /// An open flow that this instance has not seen before. The tag decides about
+  /// both.
   Tagged,
   /// The upstream of the flow has restarted. It answers the packet itself:
   /// the flow may have been opened since.
@@ -89,6 +92,9 @@
   /// An opening packet that no other packet of its flow follows within this
   /// time counts as unanswered.
   Duration AnswerTimeout = std::chrono::milliseconds(60);
+  /// A caller sends an opening again for less than this time. A later opening
+  /// on the port begins another flow.
+  Duration OpeningTime = std::chrono::seconds(2);
   /// A flow is remembered for at least this long after its last packet, which
   /// may be sent again, also if flows may be idle for less.
   Duration MinFlowMemory = std::chrono::seconds(5);
@@ -132,6 +138,9 @@
   auto count(EdgeReason r) const -> std::uint64_t {
     return Counts[static_cast<std::size_t>(r)];
   }
+  /// How often a caller was found to use a port again for another flow, without
+  /// an opening that came through this instance.
+  auto reusedPorts() const -> std::uint64_t { return ReusedPorts; }
   /// Handshake time of the flow that the last decision found to be answered;
   /// zero if there was none.
   auto lastAnswerTime() const -> Duration { return AnswerTime; }
@@ -155,6 +164,10 @@
   /// \p route is null if it is unknown.
   auto forwardEstablished(const FlowPacket &p, const RouteRecord *route,
                           TimePoint now) -> EdgeDecision;
+  /// The entry of the flow of \p p, which goes to \p u; a new one if there is
+  /// none, or if the entry of the port is that of an earlier flow.
+  auto entryOf(const FlowPacket &p, const UpstreamLifetime &u, TimePoint now)
+      -> FlowEntry &;
   /// Whether \p u is gone by the records and its flows get no answer.
   auto hasEnded(const UpstreamLifetime &u, TimePoint now) const -> bool;
   /// Whether this process has been paused since the last tick.
@@ -167,11 +180,15 @@
   auto observeAnswer(const FlowPacket &p, std::uint32_t bytes,
                      const RouteRecord *route, FlowEntry &e,
                      const UpstreamLifetime &u, TimePoint now) -> bool;
+  /// It will not be seen here whether the request of the flow is answered.
+  auto endRequest(FlowEntry &e, TimePoint now) -> void;
   /// A request of the flow was sent to \p u.
   auto beginRequest(const RouteRecord &route, FlowEntry &e,
                     const UpstreamLifetime &u, TimePoint now) -> void;
-  auto pin(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
-           TimePoint now) -> void;
+  /// The first packet after the handshake, or the first that this instance has
+  /// seen of the flow.
+  auto open(const FlowPacket &p, FlowEntry &e, const UpstreamLifetime &u,
+            TimePoint now) -> void;
   auto checkAnswered(const PendingOpening &o, TimePoint now) -> void;
   auto upstreamOf(const FlowEntry &e) const -> const UpstreamLifetime *;
   auto awaitAnswer(const FlowEntry &e, TimePoint now) -> void;
@@ -193,6 +210,7 @@
   /// When the last pause of this process was found.
   TimePoint ResumedAt;
   Duration AnswerTime{};
+  std::uint64_t ReusedPorts = 0;
 };
 
 } // namespace boragebridge
