A watch that was cut off is not a failure of the store

Cause: a watch whose connection the store closes, as it may at any time, counted as a failed call. A record that disappears within 2.5 s after a failure counts as lapsed in an outage, and each further failure gives its upstream 2.5 s more. So upstreams were never gone, unknown tags never settled, and readers of the mirror left it, for as long as watches were cut off more often than that. Change: a closed connection is told from one that is silent, and the watch is repeated at once, with a wait of 0.1 s. Only if that fails too, the store counts as failing. New log line watch_cut_off; flow_opened has `missing_ms`.

--- a/include/boragebridge/platform_client.h
+++ b/include/boragebridge/platform_client.h
@@ -4,7 +4,8 @@
 /// Errors are reported as absl::StatusCode:
 ///  - NotFound: no such object.
 ///  - Aborted: the object has another version than expected; nothing was
-///    written.
+///    written. Of a watch: the store has closed its connection without an
+///    answer, which alone does not show that the store fails.
 ///  - Unavailable: the store refused the call or could not be reached; nothing
 ///    was written.
 ///  - DeadlineExceeded: the store did not answer; a write may or may not have
--- a/src/edge/flow_log.cpp
+++ b/src/edge/flow_log.cpp
@@ -31,6 +31,7 @@
        {"expected_ms",
         inMilliseconds(Estimates.expectedTime(*d.Upstream, now))},
        {"strikes", std::to_string(Estimates.failures(*d.Upstream))},
+       {"missing_ms", timeSince(d.Upstream->MissingSince, now)},
        {"configuration", std::to_string(Directory.configuration().Version)},
        {"view_age_ms", inMilliseconds(viewAge)}});
 }
--- a/src/store/exchange_on_stream.h
+++ b/src/store/exchange_on_stream.h
@@ -23,11 +23,7 @@
     -> boost::asio::awaitable<absl::Status>;
 
 /// The error of an exchange that failed with \p ec before the response began.
-inline auto noResponse(const boost::beast::error_code &ec) -> absl::Status {
-  return absl::DeadlineExceededError(ec == boost::beast::error::timeout
-                                         ? "no response in time"
-                                         : ec.message());
-}
+auto noResponse(const boost::beast::error_code &ec) -> absl::Status;
 
 /// The error of an exchange that failed with \p ec after \p received bytes of
 /// a body of \p length bytes.
--- a/src/store/http_exchange.cpp
+++ b/src/store/http_exchange.cpp
@@ -4,6 +4,8 @@
 
 #include "store/exchange_on_stream.h"
 
+#include "absl/strings/string_view.h"
+
 #include <netinet/tcp.h>
 
 namespace boragebridge {
@@ -11,6 +13,22 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
+/// Type of the payload that marks the errors of isClosedByPeer().
+static constexpr absl::string_view ClosedByPeer = "boragebridge/closed_by_peer";
+
+auto noResponse(const beast::error_code &ec) -> absl::Status {
+  auto s = absl::DeadlineExceededError(
+      ec == beast::error::timeout ? "no response in time" : ec.message());
+  if (ec == beast::http::error::end_of_stream || ec == asio::error::eof ||
+      ec == asio::error::connection_reset)
+    s.SetPayload(ClosedByPeer, {});
+  return s;
+}
+
+auto isClosedByPeer(const absl::Status &s) -> bool {
+  return s.GetPayload(ClosedByPeer).has_value();
+}
+
 /// Enables TCP keep-alive, so that a connection whose peer has stopped
 /// responding fails within about two seconds, even while it waits for the
 /// response to a long watch.
--- a/src/store/http_exchange.h
+++ b/src/store/http_exchange.h
@@ -51,6 +51,10 @@
                    StoreHttpRequest request, ExchangeLimits limits)
     -> StoreExchangeResult;
 
+/// Whether an exchange failed with \p s because the peer closed the connection
+/// before its response began.
+auto isClosedByPeer(const absl::Status &s) -> bool;
+
 } // namespace boragebridge
 
 #endif
--- a/src/store/http_platform.cpp
+++ b/src/store/http_platform.cpp
@@ -285,11 +285,16 @@
 
 auto HttpPlatform::watch(std::string prefix, ObjectVersion after, Duration wait,
                          Callback<ObjectList> done) -> void {
+  auto onEnd = [done = std::move(done)](absl::StatusOr<ObjectList> r) {
+    if (isClosedByPeer(r.status()))
+      r = absl::AbortedError("the watch was cut off");
+    done(std::move(r));
+  };
   runForEvents(
       Settings.Dialect->watch(prefix, onWire(after), wait), prefix,
       {exchangeLimits(wait + Settings.WatchGrace, Settings.WatchResponseBytes),
        absl::StatusCode::kOutOfRange},
-      requireEra(after, std::move(done)));
+      requireEra(after, std::move(onEnd)));
 }
 
 auto HttpPlatform::poll(const std::string &prefix, ObjectVersion after,
--- a/src/store/object_watcher.cpp
+++ b/src/store/object_watcher.cpp
@@ -15,6 +15,7 @@
   if (CallOpen || now < NextCall)
     return;
   CallOpen = true;
+  CalledAt = now;
   if (NeedsList)
     startList();
   else
@@ -47,7 +48,8 @@
 
 auto ObjectWatcher::startWatch() -> void {
   Ctx.Store.watch(Options.Prefix, Version,
-                  Failures > 0 ? Options.WaitAfterFailure : Options.Wait,
+                  Failures > 0 || IsCutOff ? Options.WaitAfterFailure
+                                           : Options.Wait,
                   onAnswer(&ObjectWatcher::onWatch));
 }
 
@@ -85,6 +87,8 @@
   // The watch continues elsewhere, from the same version.
   if (absl::IsCancelled(r.status()))
     return;
+  if (absl::IsAborted(r.status()) && Failures == 0 && !IsCutOff)
+    return onCutOff();
   if (!r.ok()) {
     onFailure(r.status());
     if (absl::IsOutOfRange(r.status()))
@@ -112,7 +116,19 @@
   NextCall = Ctx.Time.now();
 }
 
+auto ObjectWatcher::onCutOff() -> void {
+  IsCutOff = true;
+  NextCall = Ctx.Time.now();
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      NextCall - CalledAt);
+  Ctx.Log.write(events::WatchCutOff,
+                {{"prefix", Options.Prefix},
+                 {"version", toText(Version)},
+                 {"waited_ms", std::to_string(waited.count())}});
+}
+
 auto ObjectWatcher::recordAnswer() -> void {
+  IsCutOff = false;
   const auto failures = std::exchange(Failures, 0);
   ConfirmedAt = Ctx.Time.now();
   NextCall = ConfirmedAt;
@@ -138,6 +154,7 @@
     Ctx.Log.write(events::WatchLost, {{"prefix", Options.Prefix},
                                       {"version", toText(Version)},
                                       {"why", std::string(s.message())}});
+  IsCutOff = false;
   auto delay = Options.InitialBackoff;
   for (unsigned i = 0; i < Failures && delay < Options.MaxBackoff; ++i)
     delay *= 2;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -6,7 +6,8 @@
 ///
 /// The version of the view never decreases: an answer with an older version is
 /// ignored. After a failure, the next call is delayed by an exponential backoff
-/// with jitter.
+/// with jitter. A watch that was cut off while it waited is no failure of the
+/// store unless the call that repeats it fails as well.
 ///
 /// Example:
 /// \code
@@ -45,8 +46,9 @@
       FirstList = {};
   /// How long the store may keep a watch open without changes.
   Duration Wait = std::chrono::seconds(5);
-  /// How long the store may keep a watch open that follows a failure. Short, so
-  /// that the watcher soon learns that the store responds again.
+  /// How long the store may keep a watch open that follows a failure, or a
+  /// watch that was cut off. Short, so that the watcher soon learns whether the
+  /// store responds.
   Duration WaitAfterFailure = std::chrono::milliseconds(100);
   /// Delay of the next watch after events, so that the events of this time
   /// arrive with one call.
@@ -113,6 +115,7 @@
   auto onList(const absl::StatusOr<ObjectList> &r) -> void;
   auto onWatch(const absl::StatusOr<ObjectList> &r) -> void;
   auto onFailure(const absl::Status &s) -> void;
+  auto onCutOff() -> void;
   auto onHistoryGone() -> void;
   auto recordAnswer() -> void;
   auto logUnreadable(const ObjectList &l) -> void;
@@ -126,6 +129,10 @@
   /// Number of the last call. Answers to earlier calls are ignored.
   std::uint64_t LastCall = 0;
   unsigned Failures = 0;
+  /// The last call was a watch that was cut off, and the one before it was
+  /// successful.
+  bool IsCutOff = false;
+  TimePoint CalledAt;
   TimePoint NextCall;
   TimePoint ConfirmedAt;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/store/platform_events.h
+++ b/src/store/platform_events.h
@@ -11,6 +11,7 @@
                                        "platform_lost"};
 inline constexpr LogEvent PlatformBack{1301, Severity::Info, "platform_back"};
 inline constexpr LogEvent WatchLost{1302, Severity::Warning, "watch_lost"};
+inline constexpr LogEvent WatchCutOff{1308, Severity::Info, "watch_cut_off"};
 inline constexpr LogEvent WatchRegained{1303, Severity::Info, "watch_regained"};
 inline constexpr LogEvent WatchHistoryGone{1304, Severity::Info,
                                            "watch_history_gone"};
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -502,6 +502,32 @@
   BOOST_TEST(!Directory.isWithdrawn(z));
 }
 
+// A store that cut off its waiting watches every 2 s kept an upstream that was
+// gone in use for as long as it went on (a variant of review/10).
+BOOST_AUTO_TEST_CASE(UpstreamIsGoneAlthoughTheStoreCutsOffWatches) {
+  start();
+  Store.answer("instances/", ObjectList{{}, 9});
+  const auto cutOff = [&] {
+    for (const auto *it : {"config/", "servers/", "evacuations/", "instances/"})
+      Store.answer(it, absl::AbortedError("cut off"));
+    advance(milliseconds(200));
+    for (const auto *it : {"config/", "servers/", "evacuations/", "instances/"})
+      Store.answer(it, ObjectList{{}, 12});
+    advance(milliseconds(200));
+  };
+  advance(seconds(3));
+  cutOff();
+  BOOST_TEST(Views.mirror().list("servers/").ok());
+  Store.answer("servers/", ObjectList{{{{"servers/i-1", "", 13}, true}}, 13});
+  BOOST_TEST(!Directory.mayOpen(*find("i-1"), Time.now()));
+  for (int i = 0; i < 4; ++i) {
+    advance(seconds(2));
+    cutOff();
+    BOOST_TEST(!Directory.mayOpen(*find("i-1"), Time.now()));
+  }
+  BOOST_TEST(Directory.isGone(*find("i-1"), Time.now()));
+}
+
 BOOST_AUTO_TEST_CASE(LostHistoryIsNotAStoreFailure) {
   start();
   Store.answer("servers/", absl::OutOfRangeError("gone"));
--- a/test/store/http_platform_test.cpp
+++ b/test/store/http_platform_test.cpp
@@ -268,6 +268,16 @@
   BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
 }
 
+BOOST_AUTO_TEST_CASE(WatchWhoseConnectionIsClosedIsAborted) {
+  serve(Behaviour::Close);
+  BOOST_TEST(absl::IsAborted(watch().status()));
+}
+
+BOOST_AUTO_TEST_CASE(WatchThatIsNotAnsweredIsDeadlineExceeded) {
+  serve(Behaviour::NoAnswer);
+  BOOST_TEST(absl::IsDeadlineExceeded(watch().status()));
+}
+
 BOOST_AUTO_TEST_CASE(UnresponsiveServerIsDeadlineExceeded) {
   serve(Behaviour::NoAnswer);
   BOOST_TEST(absl::IsDeadlineExceeded(put().status()));
--- a/test/store/object_watcher_test.cpp
+++ b/test/store/object_watcher_test.cpp
@@ -138,6 +138,40 @@
   BOOST_TEST(call.After == 7U);
 }
 
+// Each watch that the store cut off while it waited counted as a failure of the
+// store (review/10).
+BOOST_AUTO_TEST_CASE(WatchThatIsCutOffIsNoFailureOfTheStore) {
+  startWatching(7);
+  for (int i = 0; i < 3; ++i) {
+    advance(seconds(1));
+    Store.answer("p/", absl::AbortedError("cut off"));
+    BOOST_TEST(Watcher.isReachable());
+    advance(milliseconds(20));
+    const auto call = Store.take("p/");
+    BOOST_TEST(call.IsWatch);
+    BOOST_TEST(call.After == 7U);
+    call.Done(ObjectList{{}, 7});
+    advance(milliseconds(20));
+  }
+  BOOST_TEST(Failures == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(WatchThatIsCutOffTwiceInARowIsAFailure) {
+  startWatching(7);
+  Store.answer("p/", absl::AbortedError("cut off"));
+  advance(milliseconds(20));
+  Store.answer("p/", absl::AbortedError("cut off"));
+  BOOST_TEST(Failures == 1U);
+  BOOST_TEST(!Watcher.isReachable());
+  advance(seconds(1));
+  Store.answer("p/", ObjectList{{}, 7});
+  advance(milliseconds(20));
+  Store.answer("p/", absl::AbortedError("cut off"));
+  advance(milliseconds(20));
+  Store.answer("p/", absl::UnavailableError("refused"));
+  BOOST_TEST(Failures == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsVersionWhenNothingChanged) {
   startWatching(7);
   Store.answer("p/", ObjectList{{}, 30});
