The soak uses ports again, answers openings late and cuts off watches

Callers have six ports each now, begin a flow with a random number, take the tag of any answer to their opening, and check as the ends of a flow do that a packet is of their flow. Upstreams answer 3% of openings late and repeat their answer until the flow is open. The store cuts off waiting watches every 0.5 to 2.5 s. Records of living upstreams are missing for some seconds in every run, not only with restores. New invariants: flow_misrouted, an upstream that does not have a flow resets it while the one that has it runs; gone_used, a new flow reaches an upstream whose record has been missing for longer than the bound.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -112,6 +112,7 @@
         self.random = random.Random(options.seed)
         self.restores = random.Random(f"restores {options.seed}")
         self.bursts = random.Random(f"bursts {options.seed}")
+        self.cuts = random.Random(f"cuts {options.seed}")
         # Each run uses its own ports and loopback networks.
         self.net = options.net if options.net else 1 + os.getpid() % 200
         self.port = 21000 + 10 * self.net
@@ -173,6 +174,10 @@
         if requested and self.was_store_unaffected(requested) and (
                 flow.started > requested + DRAIN_S):
             self.invariants.report("drain_ignored", where)
+        missing = upstream.missing_since
+        if missing and self.was_store_unaffected(missing) and (
+                flow.started > missing + DRAIN_S):
+            self.invariants.report("gone_used", where)
         requested = self.withdrawn.get(upstream.zone)
         if requested and self.was_store_unaffected(requested) and (
                 flow.started > requested + WITHDRAW_S):
@@ -196,6 +201,16 @@
             "living_flow_reset",
             f"{caller.address}:{sport} on {host.name} by {source}")
 
+    def check_foreign_reset(self, caller, flow, sport, source):
+        host = flow.upstream
+        if host is None or host.unresponsive_since or host.stopped_since or (
+                host.address == source[:2]):
+            return
+        self.invariants.report(
+            "flow_misrouted",
+            f"{caller.address}:{sport} on {host.name}, reset by the upstream "
+            f"at {source[0]}")
+
     # Set-up and load.
 
     async def start(self):
@@ -400,18 +415,31 @@
         while True:
             await asyncio.sleep(self.restores.uniform(6, 14))
             await self.restore_store()
-            self.spawn(self.lose_record())
+            self.spawn(self.lose_record(self.restores))
+
+    async def cut_watches_repeatedly(self):
+        """What the store may do at any time; no instance counts as affected."""
+        while True:
+            await asyncio.sleep(self.cuts.uniform(0.5, 2.5))
+            self.store.cut_watches()
+
+    async def lose_records_repeatedly(self):
+        while True:
+            await asyncio.sleep(self.cuts.uniform(2, 6))
+            await self.lose_record(self.cuts)
 
-    async def lose_record(self):
+    async def lose_record(self, source):
         """The record of an upstream that goes on serving is missing."""
-        it = self.pick_upstream(self.restores)
+        it = self.pick_upstream(source)
         if it is None:
             return
         self.count("lose_record")
         it.is_registered = False
+        it.missing_since = time.monotonic()
         self.store.delete("servers", it.name)
-        await asyncio.sleep(self.restores.uniform(4, 9))
+        await asyncio.sleep(source.uniform(4, 9))
         it.is_registered = True
+        it.missing_since = None
         if not (it.stopped_since or it.unresponsive_since):
             it.report("draining" if it.draining_since else "ready")
 
@@ -499,7 +527,7 @@
         caller, sport, flow = next((c, s, f) for c in self.callers
                                    for s, f in c.flows.items() if f.upstream)
         forged = wire.Packet(wire.RST, *flow.service, caller.address_int,
-                             sport)
+                             sport, flow.ack)
         forged = bytearray(forged.encode())
         forged[-4:] = bytes(4)
         caller.datagram_received(bytes(forged), ("deliberate fault", 0))
@@ -521,6 +549,8 @@
         if self.mutation == "none":
             self.spawn(self.inject())
             self.spawn(self.inject())
+            self.spawn(self.cut_watches_repeatedly())
+            self.spawn(self.lose_records_repeatedly())
             if self.options.restores:
                 self.spawn(self.restore_repeatedly())
             if self.options.bursts:
--- a/soak/store.py
+++ b/soak/store.py
@@ -25,6 +25,7 @@
         self.events = []
         self.oldest = 0
         self.changed = asyncio.Event()
+        self.cut = asyncio.Event()
         self.calls = 0
 
     def put(self, kind, name, spec):
@@ -62,6 +63,11 @@
         self.oldest = self.revision
         self._wake()
 
+    def cut_watches(self):
+        """Ends the waiting watches without an answer, as the store may."""
+        self.cut.set()
+        self.cut = asyncio.Event()
+
     def _notify(self, kind, name, revision, spec, deleted):
         self._copy()
         self.events.append((kind, self.revision, {
@@ -80,8 +86,10 @@
 
     async def watch(self, kind, after, wait_s):
         deadline = asyncio.get_running_loop().time() + wait_s
-        era = self.era
+        era, cut = self.era, self.cut
         while True:
+            if cut.is_set():
+                raise ConnectionAbortedError
             if era != self.era or not self.oldest <= after <= self.revision:
                 return 410, {"atRev": self.revision}
             events = [e for k, rev, e in self.events
@@ -89,10 +97,14 @@
             left = deadline - asyncio.get_running_loop().time()
             if events or left <= 0:
                 return 200, {"events": events, "atRev": self.revision}
+            waits = [asyncio.ensure_future(it.wait())
+                     for it in (self.changed, cut)]
             try:
-                await asyncio.wait_for(self.changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
+                await asyncio.wait(waits, timeout=left,
+                                   return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for it in waits:
+                    it.cancel()
 
     def create(self, kind, body):
         name = body["meta"]["name"]
--- a/soak/world.py
+++ b/soak/world.py
@@ -1,6 +1,7 @@
 """Upstreams and callers of the soak, and the invariants that they check."""
 import asyncio
 import collections
+import itertools
 import random
 import socket
 import time
@@ -11,6 +12,16 @@
 DRAIN_S = 3.0
 WITHDRAW_S = 5.0
 COLD_LIMIT = 5
+# The ports of a caller.
+FIRST_PORT = 1024
+PORTS = 6
+# The share of openings that an upstream answers late, how late, and when it
+# sends the answer again until the flow is open.
+LATE_SHARE = 0.03
+LATE_S = 0.23
+ANSWER_AGAIN_AFTER_S = (0.2, 0.4, 0.8, 1.6, 1.6)
+# How far the number of a reset may be from what the caller has received.
+RESET_WINDOW = 76_800
 RETRANSMIT_AT_S = (0.2, 0.6)
 EXCHANGE_TIMEOUT_S = 1.4
 # What an upstream works on at once, how many requests it queues, and how long
@@ -27,6 +38,11 @@
     return int.from_bytes(socket.inet_aton(address), "big")
 
 
+def is_near(a, b):
+    """Whether two sequence numbers are within RESET_WINDOW of each other."""
+    return (a - b + RESET_WINDOW) % (1 << 32) <= 2 * RESET_WINDOW
+
+
 class Invariants:
     """Collects the violations of invariants, each as a line with its time."""
 
@@ -43,9 +59,10 @@
 class ServedFlow:
     """A flow at its upstream."""
 
-    def __init__(self, expected):
+    def __init__(self, first_seq):
+        self.first_seq = first_seq
         self.seq = random.getrandbits(31)
-        self.expected = expected
+        self.expected = first_seq + 1
         self.is_open = False
         self.last_answer = None
 
@@ -65,6 +82,8 @@
         self.draining_since = None
         self.unresponsive_since = None
         self.stopped_since = None
+        # Since when its record is missing although it serves.
+        self.missing_since = None
         self.is_registered = True
         self.sequence = 0
         self.active = 0
@@ -115,17 +134,33 @@
 
     def on_opening(self, packet, via):
         key = packet.flow()
-        if key not in self.flows:
-            self.flows[key] = ServedFlow(packet.seq + 1)
+        if key not in self.flows or self.flows[key].first_seq != packet.seq:
+            self.flows[key] = ServedFlow(packet.seq)
             self.world.check_opening(self, packet, via)
         flow = self.flows[key]
-        if not flow.is_open:
+        is_late = packet.ack == 0 and random.random() < LATE_SHARE
+        self.answer_opening(packet, flow, ((LATE_S,) if is_late else ()) +
+                            ANSWER_AGAIN_AFTER_S, is_silent=is_late)
+
+    def answer_opening(self, packet, flow, pauses, is_silent=False):
+        """Answers now, unless is_silent, and after each of the pauses, until the
+        flow is open."""
+        is_gone = self.stopped_since or self.unresponsive_since
+        if is_gone or flow.is_open or (
+                self.flows.get(packet.flow()) is not flow):
+            return
+        if not is_silent:
             self.reply(packet, wire.SYN | wire.ACK, flow.seq, flow.expected)
+        if pauses:
+            asyncio.get_running_loop().call_later(
+                pauses[0], self.answer_opening, packet, flow, pauses[1:])
 
     def on_packet(self, packet):
         key = packet.flow()
         if key not in self.flows:
-            if not packet.flags & wire.RST and key not in self.closed:
+            # On a flow that has ended here, only data is answered.
+            is_answered = packet.data or key not in self.closed
+            if not packet.flags & wire.RST and is_answered:
                 self.reply(packet, wire.RST, packet.ack, packet.seq)
             return
         flow = self.flows[key]
@@ -134,7 +169,7 @@
             flow.seq += 1
         caller = self.world.caller_of(packet)
         if caller:
-            caller.record_upstream(packet.sport, self)
+            caller.record_upstream(packet, self)
         if packet.data:
             self.on_data(flow, packet)
         if packet.flags & wire.FIN:
@@ -187,11 +222,21 @@
         self.reset = False
         self.refused = False
         self.upstream = None
-        self.next_seq = 1001
+        self.first_seq = random.getrandbits(31)
+        self.next_seq = self.first_seq + 1
         self.ack = 0
         self.tag = 0
         self.is_open = False
 
+    def may_have(self, packet):
+        """Whether a packet to the caller belongs to this flow, and not to an
+        earlier one of the port."""
+        if (packet.src, packet.sport) != self.service:
+            return False
+        if packet.flags & wire.RST:
+            return not self.is_open or is_near(packet.seq, self.ack)
+        return is_near(packet.ack, self.first_seq)
+
 
 class Caller(asyncio.DatagramProtocol):
     """One caller address with its flows."""
@@ -200,15 +245,30 @@
         self.world, self.address = world, address
         self.address_int = ip_to_int(address)
         self.flows = {}
-        self.next_port = 1024
+        self.next_port = 0
 
     async def start(self):
         loop = asyncio.get_running_loop()
         self.transport, _ = await loop.create_datagram_endpoint(
             lambda: self, local_addr=(self.address, self.world.port))
 
-    def record_upstream(self, sport, upstream):
+    def take_port(self):
+        """A port without a flow. Few ports, so that each is soon used again;
+        more only while all of these have flows."""
+        for _ in range(PORTS):
+            self.next_port = (self.next_port + 1) % PORTS
+            if FIRST_PORT + self.next_port not in self.flows:
+                return FIRST_PORT + self.next_port
+        return next(port for port in itertools.count(FIRST_PORT + PORTS)
+                    if port not in self.flows)
+
+    def record_upstream(self, packet, upstream):
+        """The upstream has the flow of a packet that this caller sent."""
+        sport = packet.sport
         flow = self.flows.get(sport)
+        # An instance that was paused may send packets of an earlier flow.
+        if flow and not is_near(packet.seq, flow.first_seq):
+            return
         if flow and flow.upstream is None:
             flow.upstream = upstream
         elif flow and flow.upstream is not upstream:
@@ -218,16 +278,19 @@
     def datagram_received(self, datagram, source):
         packet, _ = wire.decode(datagram)
         flow = self.flows.get(packet.dport)
-        if flow is None:
+        if flow is None or not flow.may_have(packet):
             return
         if packet.flags & wire.RST:
             if wire.is_system_reset(datagram):
                 self.world.check_reset(self, flow, packet.dport, source[0])
+            else:
+                self.world.check_foreign_reset(self, flow, packet.dport,
+                                               source)
             flow.reset = True
         elif packet.flags & wire.SYN and flow.is_open:
-            # A second upstream answered a retransmitted opening packet.
-            # Whether real callers take its tag is an open question of
-            # docs/design/platform.md; this caller keeps the first tag.
+            # An upstream answers the opening again, possibly another one. A
+            # caller echoes the tag that it received last.
+            flow.tag = packet.tag
             return
         else:
             flow.tag = packet.tag
@@ -267,11 +330,11 @@
 
         Returns how many of the requests were answered."""
         answered = 0
-        sport = self.next_port = 1024 + (self.next_port - 1023) % 60000
+        sport = self.take_port()
         flow = self.flows[sport] = Flow(service)
         succeeded = await self.exchange(
-            lambda transmission: self.send(sport, flow, wire.SYN, 1000,
-                                           transmission), flow)
+            lambda transmission: self.send(sport, flow, wire.SYN,
+                                           flow.first_seq, transmission), flow)
         self.world.count(label + ("opened" if succeeded else "not_opened"))
         for _ in range(requests if succeeded else 0):
             if not await self.exchange(
