An entry of another writer ends no living upstream

Cause: a record with another start than the known one ended the lifetime of its name for good. Later records of that lifetime were ignored as late ones, though the upstream went on to write them. Change: the record that was written last holds the name, so a lifetime that reports again with a higher sequence has not ended. A record without a start, of an upstream that tells one, counts as missing. Where the record that took the name has another address or service, open flows go on until they get no answer.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -65,12 +65,32 @@
 }
 
 auto UpstreamDirectory::apply(const UpstreamRecord &r, TimePoint now) -> void {
+  // Another writer's. The last record of the upstream is no longer there.
+  if (lacksStart(r))
+    return removeUpstream(r.Name, now);
   auto *lifetime = findLifetime(r);
   if (lifetime == nullptr)
     return add(r, now);
-  // A record of an ended lifetime has arrived late and is ignored.
-  if (!lifetime->Ended)
-    update(*lifetime, r, now);
+  if (lifetime->Ended && r.Sequence <= lifetime->Record.Sequence)
+    return;
+  if (lifetime->Ended)
+    resume(*lifetime, r, now);
+  update(*lifetime, r, now);
+}
+
+auto UpstreamDirectory::lacksStart(const UpstreamRecord &r) const -> bool {
+  const auto it = Latest.find(r.Name);
+  return r.StartedAt == decltype(r.StartedAt){} && it != Latest.end() &&
+         Entries[it->second].Lifetime.Record.StartedAt > r.StartedAt;
+}
+
+auto UpstreamDirectory::resume(UpstreamLifetime &u, const UpstreamRecord &r,
+                               TimePoint now) -> void {
+  if (const auto it = ByName.find(r.Name); it != ByName.end())
+    endLifetime(it->second, r, now);
+  u.Ended = false;
+  u.Displaced = false;
+  ByServiceIsStale = true;
 }
 
 auto UpstreamDirectory::isFromCopy(const UpstreamRecord &r, TimePoint now) const
@@ -129,7 +149,7 @@
 
 auto UpstreamDirectory::add(const UpstreamRecord &r, TimePoint now) -> void {
   if (const auto it = ByName.find(r.Name); it != ByName.end())
-    endLifetime(it->second, now);
+    endLifetime(it->second, r, now);
   const auto *u = insert(r, now);
   if (u == nullptr)
     return;
@@ -237,9 +257,12 @@
     settleAddress(u.Record.Address, now);
 }
 
-auto UpstreamDirectory::endLifetime(UpstreamIndex i, TimePoint now) -> void {
+auto UpstreamDirectory::endLifetime(UpstreamIndex i, const UpstreamRecord &next,
+                                    TimePoint now) -> void {
   auto &u = Entries[i].Lifetime;
   u.Ended = true;
+  u.Displaced =
+      u.Record.Address != next.Address || u.Record.Service != next.Service;
   ByServiceIsStale = true;
   settleAddress(u.Record.Address, now);
   const auto it = ByName.find(u.Record.Name);
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -7,6 +7,11 @@
 /// gone is retained for as long as flows to it may last, so that its tag does
 /// not name another upstream.
 ///
+/// Of several lifetimes with one name, the one whose record was written last
+/// holds it: a lifetime that reports again, with a higher sequence, has not
+/// ended, whoever wrote the record in between. A record without a start says
+/// nothing about an upstream that tells its start.
+///
 /// Of several lifetimes with one address, the one that started last holds it
 /// until it is gone, in whatever order their records arrive; the others take no
 /// new flows meanwhile. A record without a start counts as the earliest.
@@ -51,8 +56,12 @@
   /// The record disappeared shortly after a failure of the store, so it has
   /// most likely expired while the upstream is still running.
   bool MayHaveExpired = false;
-  /// A later lifetime has taken its name, so this one has ended.
+  /// Another lifetime has taken its name, so this one has ended, unless it
+  /// reports again.
   bool Ended = false;
+  /// It Ended by a record that names another address or service. That may be
+  /// another writer's, so flows may still be open.
+  bool Displaced = false;
   /// A lifetime that started later holds its address.
   bool Superseded = false;
 };
@@ -165,12 +174,15 @@
   auto goneReason(const UpstreamLifetime &u, TimePoint now) const -> GoneReason;
   /// Whether flows to \p u may be open. They may be although \p u isGone(): its
   /// record may be missing although it is running, as when the store was
-  /// restored, or another lifetime may have claimed its address. It counts as
-  /// ended if both are so, or if a later lifetime has its name. Forwarding to
+  /// restored, or another lifetime may have claimed its address, or its name
+  /// for another address. It counts as ended if its record is missing and its
+  /// address is claimed, or if another lifetime has its name and address.
+  /// Forwarding to
   /// an address that was reused is safe, because an upstream ignores packets
   /// that carry another identity.
   auto mayBeRunning(const UpstreamLifetime &u, TimePoint now) const -> bool {
-    return !u.Ended && !(u.Superseded && isMissingTooLong(u, now));
+    const auto isReplaced = u.Ended && !u.Displaced;
+    return !isReplaced && !(u.Superseded && isMissingTooLong(u, now));
   }
   /// Whether new flows may go to \p u.
   auto mayOpen(const UpstreamLifetime &u, TimePoint now) const -> bool;
@@ -207,7 +219,14 @@
   /// Adds \p u to the lifetimes of its address, or removes it from them.
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
-  auto endLifetime(UpstreamIndex i, TimePoint now) -> void;
+  /// The lifetime at \p i has ended, as \p next has its name.
+  auto endLifetime(UpstreamIndex i, const UpstreamRecord &next, TimePoint now)
+      -> void;
+  /// The ended lifetime \p u reports again by \p r.
+  auto resume(UpstreamLifetime &u, const UpstreamRecord &r, TimePoint now)
+      -> void;
+  /// Whether \p r has no start although the upstream of its name tells one.
+  auto lacksStart(const UpstreamRecord &r) const -> bool;
   /// Replaces the registered upstreams by those of \p all that are not set
   /// aside.
   auto replaceAll(const std::vector<UpstreamRecord> &all, TimePoint now)
