--- a/include/boragebridge/metrics.h
+++ b/include/boragebridge/metrics.h
@@ -73,6 +73,10 @@
   auto gauge(const std::string &name, const std::string &help) -> Gauge &;
   auto distribution(const std::string &name, const std::string &help)
       -> Distribution &;
+  /// Sets counter \p name to \p total, which is counted elsewhere.
+  /// Precondition: \p total is not below the counter's value.
+  auto setTotal(const std::string &name, const std::string &help,
+                std::uint64_t total) -> void;
   /// All metrics in the Prometheus text format.
   auto renderText() const -> std::string;
   /// The value of counter \p name; 0 if there is no such counter.
--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -2,6 +2,7 @@
 
 #include "boragebridge/metrics.h"
 #include "edge/edge_events.h"
+#include "edge/edge_metrics.h"
 #include "edge/edge_views.h"
 #include "edge/flow_log.h"
 #include "edge/forwarder.h"
@@ -54,10 +55,6 @@
 /// address of the mirror.
 constexpr auto SeedPath = "/v1/seed";
 
-auto inWholeMilliseconds(Duration d) -> std::int64_t {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
 auto textResponse(HttpStatus status, std::string text) -> HttpResponse {
   return {static_cast<unsigned>(status), "text/plain", std::move(text), {}};
 }
@@ -95,12 +92,12 @@
                .Seeds = s.Seeds,
                .Poll =
                    [this](const auto &prefix, auto after, auto done) {
-                     ++Polls;
+                     ++Totals.Polls;
                      Store.poll(prefix, after, PollTimeout, std::move(done));
                    },
                .MemberSnapshot =
                    [this](auto done) {
-                     ++Snapshots;
+                     ++Totals.Snapshots;
                      Store.listSnapshot(Adapter.Records->memberPrefix(),
                                         std::move(done));
                    },
@@ -179,9 +176,7 @@
   /// Resets of the batch in progress.
   std::array<PacketFormat::ResetBuffer, DatagramSocket::BatchSize> Resets{};
   std::size_t NextReset = 0;
-  std::uint64_t Malformed = 0;
-  std::uint64_t Polls = 0;
-  std::uint64_t Snapshots = 0;
+  EdgeTotals Totals;
   TimePoint Now;
   TimePoint LastTick;
   TimePoint LastExpire;
@@ -302,7 +297,7 @@
 auto EdgeServer::probeStore(StoreProbe::Result done) -> void {
   // Of no era: if the store has eras, the poll says so without reading changes.
   constexpr ObjectVersion AnyVersion = 1;
-  ++Polls;
+  ++Totals.Polls;
   Store.poll(Adapter.Records->withdrawalPrefix(), AnyVersion, PollTimeout,
              [done = std::move(done)](const auto &r) {
                // That the history is gone or too long is an answer as well.
@@ -325,7 +320,7 @@
 auto EdgeServer::onDatagram(std::span<std::byte> datagram) -> void {
   FlowPacket p;
   if (!Adapter.Packets->decode(datagram, p)) {
-    ++Malformed;
+    ++Totals.Malformed;
     Log.write(
         events::PacketRefused,
         {{"why", "malformed"}, {"bytes", std::to_string(datagram.size())}});
@@ -396,51 +391,11 @@
 }
 
 auto EdgeServer::renderMetrics() -> std::string {
-  auto set = [this](const std::string &name, const std::string &help,
-                    std::uint64_t total) {
-    auto &c = Metrics.counter(name, help);
-    c.add(total - c.value());
-  };
-  for (std::size_t i = 0; i < static_cast<std::size_t>(EdgeReason::Count);
-       ++i) {
-    const auto why = static_cast<EdgeReason>(i);
-    set("edge_packets_" + std::string(toString(why)) + "_total",
-        "Packets by why they met their fate", PacketForwarder.count(why));
-  }
-  set("edge_ports_used_again_total",
-      "Entries of flows whose caller uses the port for another flow",
-      PacketForwarder.reusedPorts());
-  set("edge_packets_malformed_total", "Datagrams that are no packet",
-      Malformed);
-  set("edge_packets_received_total", "Datagrams", Socket->counts().Received);
-  set("edge_packets_sent_total", "Datagrams", Socket->counts().Sent);
-  set("edge_packets_send_failed_total", "Datagrams that the kernel refused",
-      Socket->counts().SendFailed);
-  set("edge_store_calls_total", "Calls to the store", Platform.storeCalls());
-  set("edge_store_polls_total",
-      "Calls that only check on watches and on the store", Polls);
-  set("edge_store_snapshots_total",
-      "Lists of the store that may be out of date", Snapshots);
-  set("edge_mirror_calls_total", "Calls to other instances' mirrors",
-      Platform.parentCalls());
-  set("edge_log_lines_left_out_total", "Log lines over a limit",
-      Log.droppedLines());
-  Metrics.gauge("edge_configuration_version", "Version in force")
-      .set(static_cast<double>(Directory.configuration().Version));
-  const auto &totals = Views.configurationTotals();
-  set("edge_configuration_received_bytes_total",
-      "Bodies of the configurations that were put into force",
-      totals.ReceivedBytes);
-  set("edge_configuration_receive_milliseconds_total",
-      "From the first byte of these bodies to the last",
-      static_cast<std::uint64_t>(inWholeMilliseconds(totals.Receiving)));
-  set("edge_configuration_read_milliseconds_total",
-      "From these bodies to the routes in force",
-      static_cast<std::uint64_t>(inWholeMilliseconds(totals.Reading)));
-  Metrics.gauge("edge_upstreams", "Registered upstreams")
-      .set(static_cast<double>(Directory.size()));
-  Metrics.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
-      .set(std::chrono::duration<double>(Views.age(Time.now())).count());
+  setPacketMetrics(Metrics, PacketForwarder, Socket->counts(), Totals);
+  setReadMetrics(Metrics, Platform, Totals);
+  setViewMetrics(Metrics, Views, Directory, Time.now());
+  Metrics.setTotal("edge_log_lines_left_out_total", "Log lines over a limit",
+                   Log.droppedLines());
   setLoadMetrics(Metrics, Load, Settings.Parts);
   setMemoryGauges(Metrics, std::as_const(Views).mirror());
   return Metrics.renderText();
--- a/src/edge/load/load_report.cpp
+++ b/src/edge/load/load_report.cpp
@@ -33,20 +33,17 @@
 
 auto setLoadMetrics(MetricRegistry &out, const LoadControl &load,
                     const LoadParts &parts) -> void {
-  const auto set = [&out](const std::string &name, const std::string &help,
-                          std::uint64_t total) {
-    auto &c = out.counter(name, help);
-    c.add(total - c.value());
-  };
   const auto &n = load.counts();
-  set("edge_requests_answered_total", "Requests that upstreams answered",
-      n.Answered);
-  set("edge_requests_late_total",
-      "Answered requests that took longer than their route's target", n.Late);
-  set("edge_requests_refused_total", "Requests that upstreams refused",
-      n.Refused);
-  set("edge_openings_turned_away_total",
-      "New flows turned away because no upstream had room", n.TurnedAway);
+  out.setTotal("edge_requests_answered_total",
+               "Requests that upstreams answered", n.Answered);
+  out.setTotal("edge_requests_late_total",
+               "Answered requests that took longer than their route's target",
+               n.Late);
+  out.setTotal("edge_requests_refused_total", "Requests that upstreams refused",
+               n.Refused);
+  out.setTotal("edge_openings_turned_away_total",
+               "New flows turned away because no upstream had room",
+               n.TurnedAway);
   out.gauge("edge_pressed_services", "Services under pressure")
       .set(static_cast<double>(load.pressedServices()));
   const auto setPart = [&out](const std::string &name, bool isUsed) {
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -88,6 +88,12 @@
       << '\n';
 }
 
+auto MetricRegistry::setTotal(const std::string &name, const std::string &help,
+                              std::uint64_t total) -> void {
+  auto &c = counter(name, help);
+  c.add(total - c.value());
+}
+
 auto MetricRegistry::renderText() const -> std::string {
   std::ostringstream out;
   for (const auto &[name, it] : Counters) {
