--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -12,12 +12,11 @@
 /// the caller would echo the tag of whichever answered last, also while the
 /// flow is open at the other. The caller opens another flow instead.
 ///
-/// A flow is reset at
-/// once if its upstream has ended, if its route was removed, or if no upstream
-/// can take it; its caller can then reconnect without delay. That its
-/// record is missing, or that another upstream has claimed its address, does
-/// not show that an upstream has ended, unless both are so or its flows get no
-/// answer besides.
+/// A flow is reset at once if its upstream has ended, if its route was removed,
+/// or if no upstream can take it; its caller can then reconnect without delay.
+/// That its record is missing, or that another upstream has claimed its address
+/// or its name, does not show that an upstream has ended, unless record and
+/// address are gone both or its flows get no answer besides.
 ///
 /// Example:
 /// \code
