An upstream that was looked up takes no new flows when the store fails

If it was looked up within 2.5 s after a failure of the store, it counted as one whose record has lapsed in an outage, and got new flows for 2.5 s, and for 2.5 s more after each further failure. Change: it counts as missing for too long from the start, whatever the store does. Result: EdgeUpstreamDirectory/UnregisteredUpstreamTakesNoFlowsWhenTheStoreFails failed in two checks before, and passes.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -186,8 +186,7 @@
   if (u == nullptr)
     return;
   u->Ended = !isLatest;
-  // Counts as missing for too long from the start.
-  markMissing(*u, now);
+  // Counts as missing for too long from the start, also if the store fails.
   u->MissingSince = now - Options.MissingLimit - Duration(1);
   if (isLatest)
     Latest[r.Name] = u->Index;
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -92,6 +92,22 @@
   BOOST_TEST(Directory.mayOpen(*u, now()));
 }
 
+// An upstream that was looked up just after a failure of the store got new
+// flows for 2.5 s (beside review/10).
+BOOST_AUTO_TEST_CASE(UnregisteredUpstreamTakesNoFlowsWhenTheStoreFails) {
+  const auto r = record("i-2", 2);
+  start({record("i-1", 1)});
+  advance(seconds(10));
+  Directory.onStoreFailure(now());
+  Directory.addUnregistered(r, now());
+  const auto *u = Directory.find(tagOf(r.Name, r.StartedAt));
+  BOOST_TEST(!Directory.mayOpenAsLastResort(*u, now()));
+  Time.advance(seconds(1));
+  Directory.onStoreFailure(now());
+  BOOST_TEST(!Directory.mayOpenAsLastResort(*u, now()));
+  BOOST_TEST(Directory.mayBeRunning(*u, now()));
+}
+
 BOOST_AUTO_TEST_CASE(UnregisteredEarlierLifetimeEndsNoLaterOne) {
   const auto earlier = record("i-1", 1);
   auto later = earlier;
