The instance's call budget waits after a watch that was cut off

Found by reading: on the product's own interface a watch whose connection is closed has counted as an answer of the store since, which gave it an error of its own. A store that cuts off each watch at once would have been called without a pause, up to the budget. Change: BudgetedPlatform treats it as a call that was not answered, as before.

--- a/src/store/budgeted_platform.cpp
+++ b/src/store/budgeted_platform.cpp
@@ -117,8 +117,18 @@
 
 auto BudgetedPlatform::watch(std::string prefix, ObjectVersion after,
                              Duration wait, Callback<ObjectList> done) -> void {
-  if (auto f = admit(Kind::Watch, wait + Budget.WatchGrace, std::move(done)))
-    Ctx.Platform.watch(std::move(prefix), after, wait, std::move(f));
+  auto f = admit(Kind::Watch, wait + Budget.WatchGrace, std::move(done));
+  if (!f)
+    return;
+  Ctx.Platform.watch(std::move(prefix), after, wait,
+                     [f = std::move(f)](absl::StatusOr<ObjectList> r) {
+                       // The background loops repeat a watch that was cut off
+                       // after a backoff, as after any call that was not
+                       // answered.
+                       if (absl::IsAborted(r.status()))
+                         r = absl::DeadlineExceededError(r.status().message());
+                       f(std::move(r));
+                     });
 }
 
 auto BudgetedPlatform::tick(TimePoint now) -> void {
