--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -65,7 +65,7 @@
 }
 
 auto UpstreamDirectory::apply(const UpstreamRecord &r, TimePoint now) -> void {
-  // Another writer's. The last record of the upstream is no longer there.
+  // The record is another writer's and has replaced that of the upstream.
   if (lacksStart(r))
     return removeUpstream(r.Name, now);
   auto *lifetime = findLifetime(r);
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -59,8 +59,8 @@
   /// Another lifetime has taken its name, so this one has ended, unless it
   /// reports again.
   bool Ended = false;
-  /// It Ended by a record that names another address or service. That may be
-  /// another writer's, so flows may still be open.
+  /// The record that ended this lifetime names another address or service. It
+  /// may be another writer's, so flows may still be open.
   bool Displaced = false;
   /// A lifetime that started later holds its address.
   bool Superseded = false;
