review: an instance that the store turns away floods cold hosts

Cause: an instance that does not learn that hosts came back cold goes on to open all its flows to them.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -109,4 +109,4 @@
     return breaches
 
 
-lab.main(pathlib.Path(__file__).resolve().parent, play, ["zone-a"], 3)
+lab.main(pathlib.Path(__file__).resolve().parent, play, ["zone-a"], [3])
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -91,4 +91,4 @@
             f"{after:.2f} was served; before, {before:.2f}"]
 
 
-lab.main(pathlib.Path(__file__).resolve().parent, play, ["zone-a"], 3)
+lab.main(pathlib.Path(__file__).resolve().parent, play, ["zone-a"], [3])
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -112,6 +112,9 @@
         self.objects = {}
         self.events = []
         self.changed = asyncio.Event()
+        # Addresses at which the store answers nothing.
+        self.silent = set()
+        self.servers = []
 
     def put(self, kind, name, spec):
         """Creates or replaces an object; no change, no new revision."""
@@ -142,17 +145,26 @@
         self.changed = asyncio.Event()
 
     async def start(self, address, port):
-        self.server = await asyncio.start_server(self._serve, address, port)
+        self.servers.append(
+            await asyncio.start_server(self._serve, address, port))
 
     async def _serve(self, reader, writer):
         try:
+            at = writer.get_extra_info("sockname")[0]
             head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
             method, target, _ = head[0].split(" ")
             length = [int(it.split(":")[1]) for it in head
                       if it.lower().startswith("content-length:")]
             body = await reader.readexactly(length[0]) if length else b""
+            if at in self.silent:
+                await reader.read()
+                return
             status, answer = await self._answer(method, target, body)
             await asyncio.sleep(STORE_ANSWER_S)
+            if at in self.silent:
+                # As for any answer that is lost: nothing further.
+                await reader.read()
+                return
             text = json.dumps(answer).encode()
             writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
                          b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
@@ -470,6 +482,10 @@
     def __init__(self, world, name, zone, address):
         self.world, self.name, self.zone, self.address = (
             world, name, zone, address)
+        # Each node reaches the store at an address of its own, so that the
+        # store can turn away one of them.
+        self.store_address = address.rsplit(".", 1)[0] + "." + str(
+            int(address.rsplit(".", 1)[1]) + 40)
         self.process = None
         self.in_rotation = False
         self.misses = READY_MISSES
@@ -499,7 +515,7 @@
             "contracts": "base,drain,config,cost,recover,flows,places,platform",
             "faultTolerance.machines": 2, "faultTolerance.zones": 1,
             "faultTolerance.regions": 0, "hash": "mod", "forwardMode": "echo",
-            "platform.address": f"{w.store_address}:{w.store_port}",
+            "platform.address": f"{self.store_address}:{w.store_port}",
             "platform.forwardMode": "objects", "platform.writesPerS": 400,
             "platform.readsPerS": 2000, "platform.retentionS": 20,
             "platform.valueBytes": 1048576, "platform.minTtlMs": 1000})
@@ -572,6 +588,7 @@
     """A small deployment in one region."""
 
     def __init__(self, zones, nodes_per_zone, record, folder):
+        """nodes_per_zone has a number for each of zones."""
         self.record = record
         self.folder = pathlib.Path(folder)
         self.region = "region"
@@ -583,20 +600,20 @@
         self.packet_port, self.ready_port = port, port + 1
         self.control_port, self.store_port = port + 2, port + 3
         self.host_port = port + 4
-        self.store_address = f"{base}.1"
         self.command = shlex.split(tomllib.loads(
             (ROOT / "deploy/system.toml").read_text())["roles"]["edge"]["run"])
         self.nodes = []
         self.hosts = []
         self.next_host = 100
-        for zone in zones:
-            for n in range(nodes_per_zone):
+        for zone, count in zip(zones, nodes_per_zone):
+            for n in range(count):
                 self.nodes.append(Node(self, f"front-{zone}-{n + 1}", zone,
                                        f"{base}.{10 + len(self.nodes)}"))
         self.checks = []
         self.version = 0
         self.routes = {}
         self.services = []
+        self.warmup_per_s = 0.0
 
     def consumer_address(self, number):
         return (".".join(str(b) for b in number.to_bytes(4, "big")),
@@ -619,7 +636,8 @@
     async def start(self):
         if not (ROOT / self.command[0]).exists():
             raise CannotRun(f"{self.command[0]} is not built")
-        await self.store.start(self.store_address, self.store_port)
+        for it in self.nodes:
+            await self.store.start(it.store_address, self.store_port)
         for it in self.nodes:
             await it.start()
             self.checks.append(asyncio.create_task(it.check_rotation()))
@@ -659,7 +677,7 @@
                            "maxAttempts": 2})
         services = [{"name": it, "healthPath": "/health", "maxConns": 2000,
                      "protocol": "h1", "tls": False, "warmupS": 2.0,
-                     "warmupPerS": 0.0} for it in self.services]
+                     "warmupPerS": self.warmup_per_s} for it in self.services]
         self.store.put("config", "main", {
             "version": self.version, "routes": routes, "services": services,
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
