--- a/review/12/case.py
+++ b/review/12/case.py
@@ -28,7 +28,7 @@
 ROLL_GAP_S = 2.0
 START_PAUSE_S = 0.3
 # From the first use of the flows to the second; idleTimeoutMs is 15,000.
-PAUSE_S = 12.5
+PAUSE_S = 11.0
 LIMIT_S = 8.0
 
 
