--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -114,6 +114,13 @@
         self.changed = asyncio.Event()
         # Addresses at which the store answers nothing.
         self.silent = set()
+        # The age of what a call with allowStale=1 reads.
+        self.stale_s = 0.0
+        # (time, revision, objects), the oldest copy first.
+        self.copies = [(0.0, self.revision, {})]
+        # (address, kind): the next watch there that has events to answer is
+        # done, and its answer lost; the connection returns nothing further.
+        self.lose_watch_answer = set()
         self.servers = []
 
     def put(self, kind, name, spec):
@@ -121,6 +128,10 @@
         old = self.objects.get((kind, name))
         if old is not None and old["spec"] == spec:
             return old
+        if old is not None and kind == "servers" and (
+                dict(old["spec"], sequence=0) == dict(spec, sequence=0)):
+            # An entry changes when more than its sequence does.
+            return old
         self.revision += 1
         created = old["meta"]["created"] if old else self.revision
         item = {"meta": {"name": name, "revision": self.revision,
@@ -141,6 +152,8 @@
         item = dict(item, meta=dict(item["meta"], revision=self.revision))
         self.events.append((kind, self.revision,
                             {"deleted": deleted, "object": item}))
+        self.copies.append((time.monotonic(), self.revision,
+                            dict(self.objects)))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -165,6 +178,14 @@
                 # As for any answer that is lost: nothing further.
                 await reader.read()
                 return
+            lost = (at, target.split("?")[0].split("/")[-1])
+            if answer.get("events") and "allowStale" not in target and (
+                    lost in self.lose_watch_answer):
+                self.lose_watch_answer.remove(lost)
+                self.record.write(f"the answer to a watch of {lost[1]} is lost "
+                                  f"at {at}")
+                await reader.read()
+                return
             text = json.dumps(answer).encode()
             writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
                          b"Content-Length: %d\r\nConnection: close\r\n\r\n%s"
@@ -181,6 +202,8 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         parts = [urllib.parse.unquote(it) for it in url.path.split("/")[2:]]
         kind = parts[0]
+        if query.get("allowStale") == "1":
+            return 200, self._stale(kind, query)
         if method == "GET" and len(parts) == 1 and "watch" in query:
             return await self._watch(kind, int(query["watch"]),
                                      int(query.get("waitMs", 0)) / 1000)
@@ -210,10 +233,24 @@
         return 200, self.put(*key, item["spec"])
 
     def _list(self, kind, after):
-        items = [it for (k, name), it in sorted(self.objects.items())
+        return self._page(kind, after, self.objects, self.revision)
+
+    @staticmethod
+    def _page(kind, after, objects, revision):
+        items = [it for (k, name), it in sorted(objects.items())
                  if k == kind and name > after]
         return {"items": items[:PAGE_ITEMS],
-                "hasMore": len(items) > PAGE_ITEMS, "atRev": self.revision}
+                "hasMore": len(items) > PAGE_ITEMS, "atRev": revision}
+
+    def _stale(self, kind, query):
+        """The answer to a list, or a watch that doesn't wait, of old data."""
+        until = time.monotonic() - self.stale_s
+        _, revision, objects = [it for it in self.copies if it[0] <= until][-1]
+        if "watch" not in query:
+            return self._page(kind, query.get("after", ""), objects, revision)
+        return {"events": [e for k, rev, e in self.events if k == kind
+                           and int(query["watch"]) < rev <= revision],
+                "atRev": revision}
 
     async def _watch(self, kind, after, wait_s):
         deadline = time.monotonic() + min(wait_s, 30)
