--- a/review/15/case.py
+++ b/review/15/case.py
@@ -18,7 +18,7 @@
 MAIN = ("198.18.0.1", 443)
 HOSTS = (("i-7f3a91c2", "zone-a"), ("i-80b1d4e7", "zone-a"),
          ("i-91c2d3f4", "zone-b"), ("i-a2b3c4d5", "zone-b"))
-STALE_S = 5.0
+STALE_S = 3.0
 # Flows a second of the consumers of zone-b, of which each is one request.
 RATE = 27.0
 SERVES_S = 12.0
