A record of a service that no configuration names is that of no upstream

Cause: a record was judged by its fields alone. Once it counted as an upstream's it held an address, an id, a tag and an index; the latest start holds an address, whatever its service. Change: UpstreamDirectory keeps such records aside, and takes them at once when a configuration names the service, with the cold time counted from when they were read. The same holds for records that are read before the first configuration. An upstream whose service is named no longer releases its address; that an address passes to another named service is as before. Log: named, unnamed; metric: edge_upstreams_unnamed. Tests that fill a directory without a configuration set one first now; their checks are the same.

--- a/src/edge/edge_metrics.cpp
+++ b/src/edge/edge_metrics.cpp
@@ -60,6 +60,9 @@
                views.differences());
   out.gauge("edge_upstreams", "Registered upstreams")
       .set(static_cast<double>(directory.size()));
+  out.gauge("edge_upstreams_unnamed",
+            "Records of services that the configuration does not name")
+      .set(static_cast<double>(directory.unnamedRecords()));
   out.gauge("edge_view_age_seconds", "Age of the oldest view of the store")
       .set(std::chrono::duration<double>(views.age(now)).count());
 }
--- a/src/edge/edge_views.cpp
+++ b/src/edge/edge_views.cpp
@@ -254,9 +254,11 @@
       all.begin(), all.end(), [](const auto &it) { return it.Draining; });
   // One line for all of them: after a restart of a large fleet, a line for each
   // would fill the log's buffer and delay the first packets.
-  Log.write(events::UpstreamsListed, {{"count", std::to_string(all.size())},
-                                      {"draining", std::to_string(draining)},
-                                      {"version", toText(l.CurrentVersion)}});
+  Log.write(events::UpstreamsListed,
+            {{"count", std::to_string(all.size())},
+             {"draining", std::to_string(draining)},
+             {"unnamed", std::to_string(Directory.unnamedRecords())},
+             {"version", toText(l.CurrentVersion)}});
 }
 
 auto EdgeViews::onUpstreamEvents(const ObjectList &l) -> void {
@@ -284,6 +286,7 @@
             {{"upstream", r.Name},
              {"address", toString(r.Address)},
              {"draining", r.Draining ? "true" : "false"},
+             {"named", Directory.isNamed(r.Service) ? "true" : "false"},
              {"sequence", std::to_string(r.Sequence)},
              {"cold_ms", std::to_string(cold)},
              {"tag", std::to_string(static_cast<std::uint32_t>(
--- a/src/edge/edge_views_configuration.cpp
+++ b/src/edge/edge_views_configuration.cpp
@@ -89,7 +89,7 @@
                       c.status());
   const auto version = c->Version;
   const auto routes = c->Routes.size();
-  if (!Directory.setConfiguration(*std::move(c))) {
+  if (!Directory.setConfiguration(*std::move(c), Time.now())) {
     Log.write(events::EdgeConfigurationOlder,
               {{"version", std::to_string(version)},
                {"in_force", std::to_string(Directory.configuration().Version)},
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -17,8 +17,11 @@
 auto UpstreamDirectory::replaceAll(const std::vector<UpstreamRecord> &all,
                                    TimePoint now) -> void {
   std::unordered_set<std::string_view> names;
-  for (const auto &it : all) {
+  for (const auto &it : all)
     names.insert(it.Name);
+  std::erase_if(Unnamed,
+                [&](const auto &it) { return !names.contains(it.first); });
+  for (const auto &it : all) {
     if (!SetAside.contains(it.Name))
       apply(it, now);
   }
@@ -68,6 +71,9 @@
   // The record is another writer's and has replaced that of the upstream.
   if (lacksStart(r))
     return removeUpstream(r.Name, now);
+  if (!isNamed(r.Service))
+    return keepAside(r, now);
+  Unnamed.erase(r.Name);
   auto *lifetime = findLifetime(r);
   if (lifetime == nullptr)
     return add(r, now);
@@ -78,6 +84,27 @@
   update(*lifetime, r, now);
 }
 
+auto UpstreamDirectory::keepAside(const UpstreamRecord &r, TimePoint now)
+    -> void {
+  removeUpstream(r.Name, now);
+  if (Unnamed.size() < Options.MaxUpstreams)
+    Unnamed.emplace(r.Name, UnnamedRecord{r, now});
+}
+
+auto UpstreamDirectory::onServicesNamed(TimePoint now) -> void {
+  // A record says how much longer its upstream is cold from when it was read.
+  for (const auto &[name, it] : std::exchange(Unnamed, {}))
+    apply(it.Record, it.ReadAt);
+  settleSharedAddresses(now);
+  rebuild();
+}
+
+auto UpstreamDirectory::settleSharedAddresses(TimePoint now) -> void {
+  for (const auto &[address, all] : ByAddress)
+    if (all.size() > 1)
+      settleAddress(address, now);
+}
+
 auto UpstreamDirectory::lacksStart(const UpstreamRecord &r) const -> bool {
   const auto it = Latest.find(r.Name);
   return r.StartedAt == decltype(r.StartedAt){} && it != Latest.end() &&
@@ -225,7 +252,7 @@
   };
   for (const auto i : all->second) {
     const auto &u = Entries[i].Lifetime;
-    if (!u.Ended && !isMissingTooLong(u, now) &&
+    if (!u.Ended && !isMissingTooLong(u, now) && isNamed(u.Record.Service) &&
         (holder == nullptr || startOrder(*holder) < startOrder(u)))
       holder = &u;
   }
@@ -285,6 +312,7 @@
 auto UpstreamDirectory::removeUpstream(const std::string &name, TimePoint now)
     -> void {
   SetAside.erase(name);
+  Unnamed.erase(name);
   const auto it = ByName.find(name);
   if (it == ByName.end())
     return;
@@ -306,14 +334,22 @@
   StoreFailedAt = now;
 }
 
-auto UpstreamDirectory::setConfiguration(EdgeConfiguration c) -> bool {
+auto UpstreamDirectory::setConfiguration(EdgeConfiguration c, TimePoint now)
+    -> bool {
   if (c.Version < Config.Version)
     return false;
   Config = std::move(c);
   indexRoutes();
   ColdRates.clear();
-  for (const auto &it : Config.Services)
+  NamedServices.clear();
+  for (const auto &it : Config.Services) {
     ColdRates[raw(it.Service)] = it.ColdPerSecond;
+    NamedServices.insert(raw(it.Service));
+  }
+  for (const auto &route : Config.Routes)
+    for (const auto &it : route.Services)
+      NamedServices.insert(raw(it.Service));
+  onServicesNamed(now);
   return true;
 }
 
@@ -351,9 +387,7 @@
 auto UpstreamDirectory::expire(TimePoint now) -> void {
   takeSetAside(now);
   // The lifetime that held an address may be gone by now.
-  for (const auto &[address, all] : ByAddress)
-    if (all.size() > 1)
-      settleAddress(address, now);
+  settleSharedAddresses(now);
   for (auto &it : Entries) {
     auto &u = it.Lifetime;
     if (!it.Used)
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -16,6 +16,11 @@
 /// until it is gone, in whatever order their records arrive; the others take no
 /// new flows meanwhile. A record without a start counts as the earliest.
 ///
+/// A record whose service the configuration does not name is that of no
+/// upstream: it holds no name, address, tag or index. It is kept aside, so that
+/// a configuration that names the service finds its upstreams at once. Until
+/// the first configuration, all records are kept aside.
+///
 /// Example:
 /// \code
 ///   directory.replaceUpstreams(records, now);
@@ -124,9 +129,10 @@
   /// knows, unless it is known here. Flows to it may be open. Its record counts
   /// as missing for too long from the start, see mayOpen().
   auto addUnregistered(const UpstreamRecord &r, TimePoint now) -> void;
-  /// Returns false, and changes nothing, if \p c is older than the current
-  /// version.
-  auto setConfiguration(EdgeConfiguration c) -> bool;
+  /// Puts \p c into force, and takes the records that were kept aside for a
+  /// service that it names. Returns false, and changes nothing, if \p c is
+  /// older than the current version.
+  auto setConfiguration(EdgeConfiguration c, TimePoint now) -> bool;
   /// Replaces the set of data centres that take no new flows.
   auto setWithdrawn(std::set<DataCentreId> all, TimePoint now) -> void;
   /// The store failed or could not be reached: an upstream whose record may
@@ -198,6 +204,12 @@
   }
   /// Number of registered upstreams, for metrics.
   auto size() const -> std::size_t { return ByName.size(); }
+  /// Whether the configuration names \p service.
+  auto isNamed(ServiceId service) const -> bool {
+    return NamedServices.contains(raw(service));
+  }
+  /// Number of records of services that the configuration does not name.
+  auto unnamedRecords() const -> std::size_t { return Unnamed.size(); }
 
 private:
   struct Entry {
@@ -205,7 +217,18 @@
     bool Used = false;
   };
 
+  /// A record that was kept aside, and when it was read.
+  struct UnnamedRecord {
+    UpstreamRecord Record;
+    TimePoint ReadAt;
+  };
+
   auto apply(const UpstreamRecord &r, TimePoint now) -> void;
+  /// Keeps \p r aside. It is no longer the record of an upstream of its name.
+  auto keepAside(const UpstreamRecord &r, TimePoint now) -> void;
+  /// Takes the records whose services the configuration names now, and settles
+  /// the addresses of those that it names no longer.
+  auto onServicesNamed(TimePoint now) -> void;
   auto add(const UpstreamRecord &r, TimePoint now) -> void;
   /// The lifetime that \p r describes, including ended ones, or null.
   auto findLifetime(const UpstreamRecord &r) -> UpstreamLifetime *;
@@ -214,8 +237,11 @@
   auto insert(const UpstreamRecord &r, TimePoint now) -> UpstreamLifetime *;
   auto update(UpstreamLifetime &u, const UpstreamRecord &r, TimePoint now)
       -> void;
-  /// Determines which lifetime holds \p address.
+  /// Determines which lifetime holds \p address. Only one of a named service
+  /// can.
   auto settleAddress(const Endpoint &address, TimePoint now) -> void;
+  /// The same for all addresses of several lifetimes.
+  auto settleSharedAddresses(TimePoint now) -> void;
   /// Adds \p u to the lifetimes of its address, or removes it from them.
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
@@ -272,6 +298,10 @@
   std::deque<Endpoint> RemovalOrder;
   std::unordered_map<std::uint64_t, double> ColdRates;
   EdgeConfiguration Config;
+  /// The services that Config lists or sends flows to.
+  std::unordered_set<std::uint64_t> NamedServices;
+  /// Records of other services, by name.
+  std::unordered_map<std::string, UnnamedRecord> Unnamed;
   std::set<DataCentreId> Withdrawn;
   std::optional<TimePoint> UpstreamsReceivedAt;
   TimePoint StoreFailedAt;
--- a/test/edge/edge_fixture.h
+++ b/test/edge/edge_fixture.h
@@ -53,12 +53,16 @@
     r.Slots = 2;
     return r;
   }
-  auto configure(std::uint64_t version = 1) -> void {
+  auto configuration(std::uint64_t version = 1) const -> EdgeConfiguration {
     EdgeConfiguration c;
     c.Version = version;
     c.Routes = {{"r", RouteAddress, {{Service, 1}}}};
     c.Services = {{Service, 0}};
-    BOOST_TEST_REQUIRE(Directory.setConfiguration(c));
+    return c;
+  }
+  auto configure(std::uint64_t version = 1) -> void {
+    BOOST_TEST_REQUIRE(
+        Directory.setConfiguration(configuration(version), now()));
   }
   auto start(const std::vector<UpstreamRecord> &all) -> void {
     configure();
--- a/test/edge/forwarder_test.cpp
+++ b/test/edge/forwarder_test.cpp
@@ -329,7 +329,7 @@
   const auto port = openAnswered();
   EdgeConfiguration c;
   c.Version = 2;
-  Directory.setConfiguration(c);
+  Directory.setConfiguration(c, now());
   const auto d =
       PacketForwarder.decide(data(port, tagOf("i-1", seconds(1000))), now());
   BOOST_TEST((d.Action == EdgeAction::Reset));
--- a/test/edge/load/load_fixture.h
+++ b/test/edge/load/load_fixture.h
@@ -166,7 +166,7 @@
     EdgeConfiguration c;
     c.Version = 1;
     c.Routes = {Urgent, Other};
-    out->Directory.setConfiguration(c);
+    out->Directory.setConfiguration(c, TimePoint{});
     out->Directory.replaceUpstreams(all, Time.now());
     return out;
   }
--- a/test/edge/picker_test.cpp
+++ b/test/edge/picker_test.cpp
@@ -92,7 +92,7 @@
   EdgeConfiguration c = Directory.configuration();
   c.Version = 2;
   c.Routes[0].Services = {{Service, 90}, {second, 10}};
-  Directory.setConfiguration(c);
+  Directory.setConfiguration(c, now());
   auto n = 0;
   for (int i = 0; i < 1000; ++i) {
     n += openedTo() == "i-2" ? 1 : 0;
--- a/test/edge/upstream_directory_test.cpp
+++ b/test/edge/upstream_directory_test.cpp
@@ -13,7 +13,7 @@
   configure(7);
   EdgeConfiguration older;
   older.Version = 6;
-  BOOST_TEST(!Directory.setConfiguration(older));
+  BOOST_TEST(!Directory.setConfiguration(older, now()));
   BOOST_TEST(Directory.configuration().Version == 7U);
   BOOST_TEST(Directory.route(RouteAddress) != nullptr);
 }
@@ -224,6 +224,7 @@
     auto order = history.firstOrder();
     do {
       UpstreamDirectory early;
+      early.setConfiguration(configuration(), now());
       early.replaceUpstreams({}, now());
       std::vector<int> done(history.Lifetimes.size());
       for (const auto i : order) {
@@ -240,6 +241,7 @@
         if (history.isRegistered(i))
           registered.push_back(history.Lifetimes[i]);
       UpstreamDirectory late;
+      late.setConfiguration(configuration(), now());
       late.replaceUpstreams(registered, now());
       const auto end = now() + seconds(10);
       failures += history.check(early, end) && history.check(late, end) ? 0 : 1;
@@ -414,7 +416,7 @@
     c.Version = version;
     for (const auto it : ports)
       c.Routes.push_back({"r", address(it), {{ServiceId{1}, 1}}});
-    const auto isInForce = directory.setConfiguration(std::move(c));
+    const auto isInForce = directory.setConfiguration(std::move(c), now());
     BOOST_TEST(isInForce);
   };
   configure(1, {1, 2});
