A tag names its upstream even if nobody knows the start that it is of

Cause: an upstream that starts again under its id and address accepts openings with the tag of its former start, from instances that have not read of the restart; both ends echo that tag. A tag was a hash of name and start together, records hold the latest start alone, and only instances that had read the former record knew the tag, for 75 s or until they ended. Change: 24 of the 32 bits of a tag come from the name alone. A packet whose tag is of no known start goes to the upstream of its name part, with its identity in front, so no other one takes it; it has the flow or resets it itself, and echoes its present tag. Nobody has to remember or to hand over anything, so nothing rests on the speed of a roll, and a kill of all instances does no harm either. Two upstreams with one name part: as before. Of two starts of one upstream with one tag the later one owns it. The order of the subsets under load keeps its former hash and with it its draws. Metric: edge_packets_other_lifetime_total.

--- a/src/edge/edge_server.cpp
+++ b/src/edge/edge_server.cpp
@@ -328,7 +328,7 @@
   }
   Now = Time.now();
   const auto d = PacketForwarder.decide(p, Now);
-  if (d.Reason == EdgeReason::UnknownTag)
+  if (isOfUnknownLifetime(d.Reason))
     Lookup.onUnknownTag(p.Tag, Now);
   onDecision(p, d, datagram);
 }
--- a/src/edge/forwarder.cpp
+++ b/src/edge/forwarder.cpp
@@ -11,10 +11,11 @@
 auto toString(EdgeReason r) -> std::string_view {
   static constexpr std::array<std::string_view,
                               static_cast<std::size_t>(EdgeReason::Count)>
-      Names{"opened",      "opened_again",  "opening_failed", "unknown_opening",
-            "known",       "tagged",        "restarted",      "no_route",
-            "no_upstream", "upstream_gone", "upstream_dark",  "unknown_tag",
-            "no_tag",      "not_ready",     "stale",          "overloaded"};
+      Names{"opened",      "opened_again", "opening_failed", "unknown_opening",
+            "known",       "tagged",       "restarted",      "other_lifetime",
+            "no_route",    "no_upstream",  "upstream_gone",  "upstream_dark",
+            "unknown_tag", "no_tag",       "not_ready",      "stale",
+            "overloaded"};
   return r < EdgeReason::Count ? Names[static_cast<std::size_t>(r)] : "unknown";
 }
 
@@ -138,12 +139,8 @@
   if (p.Tag == UpstreamTag::None)
     return {EdgeAction::Drop, EdgeReason::NoTag};
   const auto *u = Directory.find(p.Tag);
-  if (u == nullptr) {
-    const auto isGone =
-        Unknown.isOverdue(p.Tag, now) && Directory.isStable(now);
-    return {isGone ? EdgeAction::Reset : EdgeAction::Drop,
-            EdgeReason::UnknownTag};
-  }
+  if (u == nullptr)
+    return forwardUnknownTag(p, now);
   if (!Directory.mayBeRunning(*u, now)) {
     u = Directory.successor(*u, now);
     if (u == nullptr || hasEnded(*u, now))
@@ -161,6 +158,20 @@
   return {EdgeAction::Forward, why, u};
 }
 
+/// Forwards a packet whose tag is of no lifetime that this instance knows. The
+/// upstream that the tag names may have the flow: one that restarts under its
+/// name and address accepts openings with its earlier tag, and no record tells
+/// of that tag any more. If it does not have the flow, it says so itself.
+auto Forwarder::forwardUnknownTag(const FlowPacket &p, TimePoint now)
+    -> EdgeDecision {
+  const auto *u = Directory.findByName(p.Tag);
+  if (u != nullptr && Directory.mayBeRunning(*u, now) && !hasEnded(*u, now))
+    return {EdgeAction::Forward, EdgeReason::OtherLifetime, u};
+  const auto isGone = Unknown.isOverdue(p.Tag, now) && Directory.isStable(now);
+  return {isGone ? EdgeAction::Reset : EdgeAction::Drop,
+          EdgeReason::UnknownTag};
+}
+
 /// Whether a flow whose next byte was to be \p next may have come to \p n.
 /// Parts of a flow may come through other instances.
 static auto isNear(std::uint32_t n, std::uint32_t next) -> bool {
--- a/src/edge/forwarder.h
+++ b/src/edge/forwarder.h
@@ -61,6 +61,9 @@
   /// The upstream of the flow has restarted. It answers the packet itself:
   /// the flow may have been opened since.
   Restarted,
+  /// The same, and nobody told this instance of the lifetime that the tag is
+  /// of: only the name part of the tag shows the upstream.
+  OtherLifetime,
   NoRoute,
   NoUpstream,
   UpstreamGone,
@@ -76,6 +79,12 @@
 
 auto toString(EdgeReason r) -> std::string_view;
 
+/// Whether the packet has the tag of a lifetime that this instance does not
+/// know. Another instance may know it.
+constexpr auto isOfUnknownLifetime(EdgeReason r) -> bool {
+  return r == EdgeReason::UnknownTag || r == EdgeReason::OtherLifetime;
+}
+
 /// What to do with one packet.
 struct EdgeDecision {
   EdgeAction Action = EdgeAction::Drop;
@@ -163,6 +172,7 @@
   /// \p route is null if it is unknown.
   auto forwardEstablished(const FlowPacket &p, const RouteRecord *route,
                           TimePoint now) -> EdgeDecision;
+  auto forwardUnknownTag(const FlowPacket &p, TimePoint now) -> EdgeDecision;
   /// The entry of the flow of \p p, which goes to \p u; a new one if there is
   /// none, or if the entry of the port is that of an earlier flow.
   auto entryOf(const FlowPacket &p, const UpstreamLifetime &u, TimePoint now)
--- a/src/edge/load/upstream_subsets.cpp
+++ b/src/edge/load/upstream_subsets.cpp
@@ -8,13 +8,19 @@
 
 using Upstreams = std::vector<SubsetUpstream>;
 
-/// Puts \p all into an order that depends on their tags and \p seed alone.
+/// A number that each lifetime of an upstream has of its own.
+static auto hashOf(const UpstreamRecord &r) -> std::uint64_t {
+  const auto hash = hashPair(hashName(r.Name),
+                             static_cast<std::uint64_t>(r.StartedAt.count()));
+  return static_cast<std::uint32_t>(hash ^ (hash >> 32));
+}
+
+/// Puts \p all into an order that depends on their lifetimes and \p seed alone.
 static auto shuffle(Upstreams &all, std::uint64_t seed) -> void {
   std::vector<std::pair<std::uint64_t, std::size_t>> keys;
   keys.reserve(all.size());
   for (std::size_t i = 0; i < all.size(); ++i) {
-    const auto tag = static_cast<std::uint32_t>(all[i].Upstream->Tag);
-    keys.emplace_back(hashPair(std::uint64_t{tag}, seed), i);
+    keys.emplace_back(hashPair(hashOf(all[i].Upstream->Record), seed), i);
   }
   std::sort(keys.begin(), keys.end());
   Upstreams ordered;
--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -195,6 +195,7 @@
   u.Tag = tagOf(r.Name, r.StartedAt);
   u.ColdUntil = now + r.ColdFor;
   ByServiceIsStale = true;
+  ByNamePart[namePartOf(u.Tag)].push_back(u.Index);
   claimTag(u);
   return &u;
 }
@@ -283,6 +284,15 @@
     settleAddress(u.Record.Address, now);
 }
 
+auto UpstreamDirectory::removeFromNamePart(const UpstreamLifetime &u) -> void {
+  const auto all = ByNamePart.find(namePartOf(u.Tag));
+  if (all == ByNamePart.end())
+    return;
+  std::erase(all->second, u.Index);
+  if (all->second.empty())
+    ByNamePart.erase(all);
+}
+
 auto UpstreamDirectory::endLifetime(UpstreamIndex i, const UpstreamRecord &next,
                                     TimePoint now) -> void {
   auto &u = Entries[i].Lifetime;
@@ -297,15 +307,18 @@
 }
 
 /// If two upstreams share a tag, the one that started first owns it: flows to
-/// it may already be open, and every instance reaches the same decision.
+/// it may already be open, and every instance reaches the same decision. Of two
+/// lifetimes of one upstream it is the later one, as the earlier one has ended.
 auto UpstreamDirectory::claimTag(const UpstreamLifetime &u) -> void {
   const auto [it, added] =
       ByTag.emplace(static_cast<std::uint32_t>(u.Tag), u.Index);
   if (added)
     return;
   const auto &other = Entries[it->second].Lifetime.Record;
-  if (std::tie(u.Record.StartedAt, u.Record.Name) <
-      std::tie(other.StartedAt, other.Name))
+  const auto isEarlier = std::tie(u.Record.StartedAt, u.Record.Name) <
+                         std::tie(other.StartedAt, other.Name);
+  const auto isSameUpstream = u.Record.Name == other.Name;
+  if (isEarlier != isSameUpstream)
     it->second = u.Index;
 }
 
@@ -405,6 +418,7 @@
     if (const auto tag = ByTag.find(static_cast<std::uint32_t>(u.Tag));
         tag != ByTag.end() && tag->second == u.Index)
       ByTag.erase(tag);
+    removeFromNamePart(u);
     removeFromAddress(u, now);
   }
   if (!ByServiceIsStale)
@@ -434,6 +448,21 @@
   return it == ByTag.end() ? nullptr : &Entries[it->second].Lifetime;
 }
 
+auto UpstreamDirectory::findByName(UpstreamTag tag) const
+    -> const UpstreamLifetime * {
+  const auto all = ByNamePart.find(namePartOf(tag));
+  if (all == ByNamePart.end())
+    return nullptr;
+  const auto &name = Entries[all->second.front()].Lifetime.Record.Name;
+  const auto isShared =
+      std::any_of(all->second.begin(), all->second.end(), [&](const auto i) {
+        return Entries[i].Lifetime.Record.Name != name;
+      });
+  const auto latest = Latest.find(name);
+  return isShared || latest == Latest.end() ? nullptr
+                                            : &Entries[latest->second].Lifetime;
+}
+
 auto UpstreamDirectory::successor(const UpstreamLifetime &u,
                                   TimePoint now) const
     -> const UpstreamLifetime * {
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -160,6 +160,10 @@
   }
   /// The upstream that \p tag names, including those that are gone, or null.
   auto find(UpstreamTag tag) const -> const UpstreamLifetime *;
+  /// The latest lifetime of the upstream that \p tag names by its name part,
+  /// whatever lifetime the tag is of. Null if there is none, or if several
+  /// upstreams share the name part.
+  auto findByName(UpstreamTag tag) const -> const UpstreamLifetime *;
   /// The latest lifetime of the upstream of which \p u is an earlier one, if it
   /// is not gone and its address and service are the same; else null. Flows
   /// that carry the tag of \p u may be open there: an instance that has not
@@ -245,6 +249,8 @@
   /// Adds \p u to the lifetimes of its address, or removes it from them.
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
+  /// Removes \p u from the lifetimes of its name part.
+  auto removeFromNamePart(const UpstreamLifetime &u) -> void;
   /// The lifetime at \p i has ended, as \p next has its name.
   auto endLifetime(UpstreamIndex i, const UpstreamRecord &next, TimePoint now)
       -> void;
@@ -287,6 +293,8 @@
   /// All lifetimes of an address, including those that are gone.
   std::unordered_map<Endpoint, std::vector<UpstreamIndex>> ByAddress;
   std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
+  /// All lifetimes by the name parts of their tags.
+  std::unordered_map<std::uint32_t, std::vector<UpstreamIndex>> ByNamePart;
   std::unordered_map<std::uint64_t, std::vector<const UpstreamLifetime *>>
       ByService;
   bool ByServiceIsStale = false;
--- a/src/edge/upstream_tag.h
+++ b/src/edge/upstream_tag.h
@@ -7,6 +7,11 @@
 /// instance derives it from the upstream's record in the store, so all
 /// instances agree. Two upstreams may share a tag; UpstreamDirectory resolves
 /// which one it names.
+///
+/// The upper 24 bits come from the name of the upstream alone. A record is that
+/// of the latest lifetime, but flows may be open there with the tag of an
+/// earlier one, whose start nobody may know any more. The name is enough to
+/// find the upstream.
 #ifndef BORAGEBRIDGE_EDGE_UPSTREAM_TAG_H
 #define BORAGEBRIDGE_EDGE_UPSTREAM_TAG_H
 
@@ -22,6 +27,9 @@
 auto tagOf(std::string_view name, std::chrono::milliseconds startedAt)
     -> UpstreamTag;
 
+/// The part of \p tag that all lifetimes of an upstream share.
+auto namePartOf(UpstreamTag tag) -> std::uint32_t;
+
 } // namespace boragebridge
 
 #endif
--- a/src/edge_model/edge_model.cpp
+++ b/src/edge_model/edge_model.cpp
@@ -130,12 +130,19 @@
   UpstreamRecord r;
   r.Name = "host-" + std::to_string(n);
   r.WireId = n + 1;
-  r.StartedAt =
-      std::chrono::duration_cast<milliseconds>(now().time_since_epoch());
   r.Service = service;
   r.DataCentre = DataCentreIds[dataCentre];
   r.Address = address;
   r.Slots = 2;
+  return startUpstream(dataCentre, std::move(r), speed, cold);
+}
+
+auto EdgeModel::startUpstream(std::size_t dataCentre, UpstreamRecord r,
+                              double speed, Duration cold) -> std::size_t {
+  const auto n = UpstreamEntries.size();
+  const auto address = r.Address;
+  r.StartedAt =
+      std::chrono::duration_cast<milliseconds>(now().time_since_epoch());
   auto model = std::make_shared<ModelUpstream>(*this, std::move(r),
                                                UpstreamOptions{.Speed = speed});
   model->setCold(cold);
@@ -147,6 +154,12 @@
   return n;
 }
 
+auto EdgeModel::hasRestarted(std::size_t upstream) const -> bool {
+  const auto &r = UpstreamEntries[upstream].Model->record();
+  const auto at = UpstreamAt.at(r.Address);
+  return at != upstream && UpstreamEntries[at].Model->record().Name == r.Name;
+}
+
 auto EdgeModel::addCallers(std::size_t dataCentre) -> void {
   // Bookings use long-lived flows; reservations and uploads use one flow for
   // each request.
@@ -465,7 +478,7 @@
         if (model->record().Draining)
           Checker.onDrainAccepted(name, now());
         // The upstream may have ended while the store was unavailable.
-        if (UpstreamEntries[upstream].Ended)
+        if (UpstreamEntries[upstream].Ended && !hasRestarted(upstream))
           erase(Format.upstreamPrefix() + name);
       });
 }
@@ -474,7 +487,9 @@
   after(RecordTimeout, [this, upstream] {
     whenStoreAvailable([this, upstream] {
       const auto &entry = UpstreamEntries[upstream];
-      if (entry.Ended || entry.Model->state() != UpstreamState::Running)
+      const auto isOver =
+          entry.Ended || entry.Model->state() != UpstreamState::Running;
+      if (isOver && !hasRestarted(upstream))
         erase(Format.upstreamPrefix() + entry.Model->record().Name);
     });
   });
--- a/src/edge_model/edge_model.h
+++ b/src/edge_model/edge_model.h
@@ -112,6 +112,9 @@
   /// Multiplies the speed by \p factor. A factor below 1 begins a fault; any
   /// other factor ends it.
   auto setUpstreamSpeed(std::size_t upstream, double factor) -> void;
+  /// Ends an upstream, which starts again at once under its name, identity and
+  /// address. It is not cold: nobody can know the start before its record.
+  auto restartUpstream(std::size_t upstream) -> void;
   /// Drains and ends an upstream. A new upstream takes its place at another
   /// address; with \p reuseAddress, one of the other service takes over its
   /// address.
@@ -171,6 +174,11 @@
   auto addUpstream(std::size_t dataCentre, ServiceId service,
                    const Endpoint &address, double speed, Duration cold)
       -> std::size_t;
+  /// Adds the lifetime that \p r describes; it starts now.
+  auto startUpstream(std::size_t dataCentre, UpstreamRecord r, double speed,
+                     Duration cold) -> std::size_t;
+  /// Whether a later lifetime has the name and the address of an upstream.
+  auto hasRestarted(std::size_t upstream) const -> bool;
   auto nextAddress(std::size_t dataCentre) -> Endpoint;
   auto addCallers(std::size_t dataCentre) -> void;
   auto writeConfiguration() -> void;
--- a/src/edge_model/edge_model_faults.cpp
+++ b/src/edge_model/edge_model_faults.cpp
@@ -152,11 +152,31 @@
 
 auto EdgeModel::endUpstream(std::size_t upstream) -> void {
   auto &entry = UpstreamEntries[upstream];
+  if (entry.Ended)
+    return;
   entry.Ended = true;
   entry.Model->setState(UpstreamState::Crashed);
   erase(Format.upstreamPrefix() + entry.Model->record().Name);
 }
 
+auto EdgeModel::restartUpstream(std::size_t upstream) -> void {
+  constexpr Duration DownTime = milliseconds(50);
+  auto &entry = UpstreamEntries[upstream];
+  if (entry.Ended)
+    return;
+  auto r = entry.Model->record();
+  r.Draining = false;
+  r.Sequence = 0;
+  entry.Ended = true;
+  entry.Model->setState(UpstreamState::Crashed);
+  Checker.faults().recordFault(r.Name, now());
+  Checker.onUpstreamStarted(r.Name);
+  after(DownTime,
+        [this, r, dc = entry.DataCentre, speed = entry.Model->speed()] {
+          startUpstream(dc, r, speed, {});
+        });
+}
+
 auto EdgeModel::replaceUpstream(std::size_t upstream, bool reuseAddress)
     -> void {
   auto &entry = UpstreamEntries[upstream];
--- a/src/edge_model/faults.cpp
+++ b/src/edge_model/faults.cpp
@@ -208,6 +208,21 @@
   m.after(storm + Gap * Changes, [&m] { m.moveRouteBack(); });
   return {};
 }
+/// A third of the upstreams start again under their names, while flows are
+/// opened, and then all instances do.
+auto restartUpstreamsBeforeRoll(EdgeModel &m, std::uint64_t selector)
+    -> EndFault {
+  constexpr Duration Gap = milliseconds(100);
+  constexpr Duration RollAfter = seconds(1);
+  constexpr std::uint64_t Share = 3;
+  auto i = 0;
+  for (const auto it : m.upstreams())
+    if ((it + selector) % Share == 0)
+      m.after(Gap * i++, [&m, it] { m.restartUpstream(it); });
+  m.after(RollAfter, [&m, selector] { rollAll(m, selector); });
+  return {};
+}
+
 /// The answers that tell the instances of a change by an operator or of an
 /// upstream that drains are lost.
 auto loseAnswersToWatches(EdgeModel &m, std::uint64_t selector) -> EndFault {
@@ -257,6 +272,7 @@
     FaultKind{"lose_records", removeRecords},
     FaultKind{"parents_in_storm", moveRoutesWhileParentsChange},
     FaultKind{"lose_watch_answers", loseAnswersToWatches},
+    FaultKind{"restart_upstreams", restartUpstreamsBeforeRoll},
 };
 
 /// The kinds that mixed plans are drawn from. The others have draws of their
--- a/src/edge_model/model_instance.cpp
+++ b/src/edge_model/model_instance.cpp
@@ -316,7 +316,7 @@
   }
   const auto now = Ctx.Time.now();
   const auto d = RunningProcess->PacketForwarder.decide(p.Header, now);
-  if (d.Reason == EdgeReason::UnknownTag)
+  if (isOfUnknownLifetime(d.Reason))
     RunningProcess->Lookup.onUnknownTag(p.Header.Tag, now);
   Ctx.ApplyDecision(*this, p, d);
 }
--- a/src/edge_model/rules.h
+++ b/src/edge_model/rules.h
@@ -79,6 +79,10 @@
   /// Returns the name of the store in faults().
   static auto store() -> std::string { return "store"; }
 
+  /// \p upstream starts again under its name, and does not drain.
+  auto onUpstreamStarted(const std::string &upstream) -> void {
+    DrainingSince.erase(upstream);
+  }
   /// The store accepted these changes at \p now.
   auto onDrainAccepted(const std::string &upstream, TimePoint now) -> void;
   auto onWithdrawn(DataCentreId d, bool withdrawn, TimePoint now) -> void;
