An entry without one of the listed fields names no upstream

Cause: the decoder asked for the fields that the product uses, not for those that an entry has to have: version was not asked for, sequence was optional. The texts of the other tests of the decoder have all listed fields now, so that each is refused for the reason that it states.

--- a/test/edge/edge_views_fixture.h
+++ b/test/edge/edge_views_fixture.h
@@ -18,8 +18,8 @@
 inline auto upstreamText(int port, const std::string &state = "ready",
                          const std::string &zone = "z") -> std::string {
   return R"({"service":"s","address":"10.128.0.9:)" + std::to_string(port) +
-         R"(","zone":")" + zone + R"(","slots":2,"state":")" + state +
-         R"(","warmupLeftMs":0,"born":5})";
+         R"(","zone":")" + zone + R"(","version":"v1","slots":2,"state":")" +
+         state + R"(","warmupLeftMs":0,"sequence":1,"born":5})";
 }
 
 /// A configuration of \p routes routes, the last one with another port.
--- a/test/users/record_codec_test.cpp
+++ b/test/users/record_codec_test.cpp
@@ -32,26 +32,56 @@
 BOOST_AUTO_TEST_CASE(InvalidUpstreamRecordsAreRejected) {
   for (const auto *it :
        {"", "\"text\"", "{}", "[1]",
-        R"({"service":1,"address":"10.128.0.9:8080","zone":"p","slots":2,
+        R"({"service":1,"address":"10.128.0.9:8080","zone":"p","version":"v1",
+            "sequence":1,"slots":2,
             "state":"ready","warmupLeftMs":0})",
-        R"({"service":"s","address":"10.128.0.9","zone":"p","slots":2,
+        R"({"service":"s","address":"10.128.0.9","zone":"p","version":"v1",
+            "sequence":1,"slots":2,
             "state":"ready","warmupLeftMs":0})",
-        R"({"service":"s","address":"10.128.0.9:80","zone":"p","slots":0,
+        R"({"service":"s","address":"10.128.0.9:80","zone":"p","version":"v1",
+            "sequence":1,"slots":0,
             "state":"ready","warmupLeftMs":0})",
-        R"({"service":"s","address":"10.128.0.9:80","zone":"p","slots":-2,
+        R"({"service":"s","address":"10.128.0.9:80","zone":"p","version":"v1",
+            "sequence":1,"slots":-2,
             "state":"ready","warmupLeftMs":0})",
-        R"({"service":"s","address":"10.128.0.9:80","zone":"p","slots":2,
+        R"({"service":"s","address":"10.128.0.9:80","zone":"p","version":"v1",
+            "sequence":1,"slots":2,
             "state":"resting","warmupLeftMs":0})",
-        R"({"service":"s","address":"10.128.0.9:80","zone":"p","slots":2,
+        R"({"service":"s","address":"10.128.0.9:80","zone":"p","version":"v1",
+            "sequence":1,"slots":2,
             "state":"ready","warmupLeftMs":-1})",
-        R"({"service":"s","address":"10.128.0.9:80","zone":"p","slots":2,
+        R"({"service":"s","address":"10.128.0.9:80","zone":"p","version":"v1",
+            "sequence":1,"slots":2,
             "state":"ready","warmupLeftMs":0,"born":"x"})"})
     BOOST_TEST(!upstream(it).ok(), it);
 }
 
+// An entry of another writer that lacked the version moved a living upstream to
+// another service, whose requests it ran (review/13).
+BOOST_AUTO_TEST_CASE(RecordThatLacksAListedFieldIsRejected) {
+  const std::vector<std::pair<std::string, std::string>> fields{
+      {"service", R"("s")"}, {"address", R"("10.128.0.9:80")"},
+      {"zone", R"("p")"},    {"version", R"("v1")"},
+      {"slots", "2"},        {"state", R"("ready")"},
+      {"warmupLeftMs", "0"}, {"sequence", "4"}};
+  const auto record = [&](std::size_t changed, const std::string &value) {
+    std::string out;
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+      const auto &text = i == changed ? value : fields[i].second;
+      if (!text.empty())
+        out += (out.empty() ? "{\"" : ",\"") + fields[i].first + "\":" + text;
+    }
+    return upstream(out + "}");
+  };
+  BOOST_TEST(record(fields.size(), "").ok());
+  for (std::size_t i = 0; i < fields.size(); ++i)
+    for (const auto *it : {"", "null", "[]", "true"})
+      BOOST_TEST(!record(i, it).ok(), fields[i].first << " " << it);
+}
+
 BOOST_AUTO_TEST_CASE(IdThatAddressesAnyUpstreamIsRejected) {
   const auto *value = R"({"service":"s","address":"10.128.0.9:80","zone":"p",
-      "slots":2,"state":"ready","warmupLeftMs":0})";
+      "version":"v1","sequence":1,"slots":2,"state":"ready","warmupLeftMs":0})";
   BOOST_TEST(RecordCodec().decodeUpstream({"servers/i-1", value, 1}).ok());
   BOOST_TEST(!RecordCodec().decodeUpstream({"servers/i-0", value, 1}).ok());
 }
@@ -62,8 +92,9 @@
   const auto record = [](const std::string &port, const std::string &slots,
                          const std::string &cold, const std::string &born) {
     return upstream(R"({"service":"s","address":"10.128.0.9:)" + port +
-                    R"(","zone":"p","slots":)" + slots +
-                    R"(,"state":"ready","warmupLeftMs":)" + cold +
+                    R"(","zone":"p","version":"v1",
+            "sequence":1,"slots":)" +
+                    slots + R"(,"state":"ready","warmupLeftMs":)" + cold +
                     R"(,"born":)" + born + "}");
   };
   BOOST_TEST(record("80", "2", "0", "1").ok());
