An upstream that another instance knows goes on although an entry has taken its name

One that has started since asks them for its tag, and took the answer for that of a lifetime that has ended: the flow was reset. Change: an upstream that is looked up counts as displaced if the latest record of its name has another address or service, as it does where both records were read. Evidence: EdgeUpstreamLookup/FlowOfUpstreamWhoseNameAnEntryHasTakenGoesOn failed before, and passes.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -200,6 +200,12 @@
   return &u;
 }
 
+/// Whether two lifetimes of one name have the same address and service.
+static auto isReachedAlike(const UpstreamRecord &a, const UpstreamRecord &b)
+    -> bool {
+  return a.Address == b.Address && a.Service == b.Service;
+}
+
 auto UpstreamDirectory::addUnregistered(const UpstreamRecord &r, TimePoint now)
     -> void {
   if (findLifetime(r) != nullptr)
@@ -214,6 +220,8 @@
   if (u == nullptr)
     return;
   u->Ended = !isLatest;
+  u->Displaced =
+      u->Ended && !isReachedAlike(r, Entries[latest->second].Lifetime.Record);
   // Counts as missing for too long from the start, also if the store fails.
   u->MissingSince = now - Options.MissingLimit - Duration(1);
   if (isLatest)
@@ -297,8 +305,7 @@
                                     TimePoint now) -> void {
   auto &u = Entries[i].Lifetime;
   u.Ended = true;
-  u.Displaced =
-      u.Record.Address != next.Address || u.Record.Service != next.Service;
+  u.Displaced = !isReachedAlike(u.Record, next);
   ByServiceIsStale = true;
   settleAddress(u.Record.Address, now);
   const auto it = ByName.find(u.Record.Name);
@@ -470,9 +477,9 @@
   if (it == Latest.end() || it->second == u.Index)
     return nullptr;
   const auto &latest = Entries[it->second].Lifetime;
-  const auto isReachedAlike = latest.Record.Address == u.Record.Address &&
-                              latest.Record.Service == u.Record.Service;
-  return isReachedAlike && mayBeRunning(latest, now) ? &latest : nullptr;
+  return isReachedAlike(latest.Record, u.Record) && mayBeRunning(latest, now)
+             ? &latest
+             : nullptr;
 }
 
 auto UpstreamDirectory::upstreamsOf(ServiceId service) const
--- a/test/edge/upstream_lookup_test.cpp
+++ b/test/edge/upstream_lookup_test.cpp
@@ -91,6 +91,24 @@
   BOOST_TEST(Calls.size() == 2U);
 }
 
+// An instance that started after another writer's entry had taken the
+// upstream's name, for another address, took the upstream for ended, although
+// another instance knew that it might be running.
+BOOST_AUTO_TEST_CASE(FlowOfUpstreamWhoseNameAnEntryHasTakenGoesOn) {
+  auto other = Missing;
+  other.StartedAt += seconds(9);
+  other.Address.Port = 99;
+  Directory.putUpstream(other, now());
+  const auto p = data(1, Tag);
+  const auto reason = PacketForwarder.decide(p, now()).Reason;
+  BOOST_TEST_REQUIRE(isOfUnknownLifetime(reason));
+  Lookup.onUnknownTag(Tag, now());
+  Calls.front().Done(Missing);
+  const auto d = PacketForwarder.decide(p, now());
+  BOOST_TEST_REQUIRE((d.Action == EdgeAction::Forward));
+  BOOST_TEST((d.Upstream->Record == Missing));
+}
+
 // An instance that has found the upstream to be silent denies it.
 BOOST_AUTO_TEST_CASE(SilentUpstreamIsNotPassedOn) {
   start({record("i-1", 1), Missing});
