The index of tags is a class of its own

UpstreamDirectory has grown with the name parts: two maps, the rule which lifetime a shared tag names, and a second pass over all lifetimes when one had expired. UpstreamTagIndex holds one map by name part, from which all of it follows; a lifetime that shares its tag is found without a search through all others. Tests of views share the member that becomes the parent.

--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -142,21 +142,8 @@
 
 auto UpstreamDirectory::findLifetime(const UpstreamRecord &r)
     -> UpstreamLifetime * {
-  auto matches = [&](const UpstreamLifetime &u) {
-    return u.Record.Name == r.Name && u.Record.StartedAt == r.StartedAt;
-  };
-  const auto it =
-      ByTag.find(static_cast<std::uint32_t>(tagOf(r.Name, r.StartedAt)));
-  if (it == ByTag.end())
-    return nullptr;
-  if (matches(Entries[it->second].Lifetime))
-    return &Entries[it->second].Lifetime;
-  // Another upstream owns the tag.
-  const auto entry =
-      std::find_if(Entries.begin(), Entries.end(), [&](const auto &s) {
-        return s.Used && matches(s.Lifetime);
-      });
-  return entry == Entries.end() ? nullptr : &entry->Lifetime;
+  const auto i = Tags.findLifetime(r);
+  return i ? &Entries[*i].Lifetime : nullptr;
 }
 
 auto UpstreamDirectory::allocate() -> Entry * {
@@ -195,8 +182,7 @@
   u.Tag = tagOf(r.Name, r.StartedAt);
   u.ColdUntil = now + r.ColdFor;
   ByServiceIsStale = true;
-  ByNamePart[namePartOf(u.Tag)].push_back(u.Index);
-  claimTag(u);
+  Tags.add(r, u.Index);
   return &u;
 }
 
@@ -292,15 +278,6 @@
     settleAddress(u.Record.Address, now);
 }
 
-auto UpstreamDirectory::removeFromNamePart(const UpstreamLifetime &u) -> void {
-  const auto all = ByNamePart.find(namePartOf(u.Tag));
-  if (all == ByNamePart.end())
-    return;
-  std::erase(all->second, u.Index);
-  if (all->second.empty())
-    ByNamePart.erase(all);
-}
-
 auto UpstreamDirectory::endLifetime(UpstreamIndex i, const UpstreamRecord &next,
                                     TimePoint now) -> void {
   auto &u = Entries[i].Lifetime;
@@ -313,22 +290,6 @@
     ByName.erase(it);
 }
 
-/// If two upstreams share a tag, the one that started first owns it: flows to
-/// it may already be open, and every instance reaches the same decision. Of two
-/// lifetimes of one upstream it is the later one, as the earlier one has ended.
-auto UpstreamDirectory::claimTag(const UpstreamLifetime &u) -> void {
-  const auto [it, added] =
-      ByTag.emplace(static_cast<std::uint32_t>(u.Tag), u.Index);
-  if (added)
-    return;
-  const auto &other = Entries[it->second].Lifetime.Record;
-  const auto isEarlier = std::tie(u.Record.StartedAt, u.Record.Name) <
-                         std::tie(other.StartedAt, other.Name);
-  const auto isSameUpstream = u.Record.Name == other.Name;
-  if (isEarlier != isSameUpstream)
-    it->second = u.Index;
-}
-
 auto UpstreamDirectory::removeUpstream(const std::string &name, TimePoint now)
     -> void {
   SetAside.erase(name);
@@ -422,18 +383,9 @@
       Latest.erase(latest);
     ByServiceIsStale = true;
     FreeIndexes.push_back(u.Index);
-    if (const auto tag = ByTag.find(static_cast<std::uint32_t>(u.Tag));
-        tag != ByTag.end() && tag->second == u.Index)
-      ByTag.erase(tag);
-    removeFromNamePart(u);
+    Tags.remove(u.Record);
     removeFromAddress(u, now);
   }
-  if (!ByServiceIsStale)
-    return;
-  // A tag that two upstreams shared now names the remaining one.
-  for (const auto &it : Entries)
-    if (it.Used)
-      claimTag(it.Lifetime);
   rebuild();
 }
 
@@ -451,23 +403,17 @@
 
 auto UpstreamDirectory::find(UpstreamTag tag) const
     -> const UpstreamLifetime * {
-  const auto it = ByTag.find(static_cast<std::uint32_t>(tag));
-  return it == ByTag.end() ? nullptr : &Entries[it->second].Lifetime;
+  const auto i = Tags.find(tag);
+  return i ? &Entries[*i].Lifetime : nullptr;
 }
 
 auto UpstreamDirectory::findByName(UpstreamTag tag) const
     -> const UpstreamLifetime * {
-  const auto all = ByNamePart.find(namePartOf(tag));
-  if (all == ByNamePart.end())
+  const auto *name = Tags.nameOf(tag);
+  if (name == nullptr)
     return nullptr;
-  const auto &name = Entries[all->second.front()].Lifetime.Record.Name;
-  const auto isShared =
-      std::any_of(all->second.begin(), all->second.end(), [&](const auto i) {
-        return Entries[i].Lifetime.Record.Name != name;
-      });
-  const auto latest = Latest.find(name);
-  return isShared || latest == Latest.end() ? nullptr
-                                            : &Entries[latest->second].Lifetime;
+  const auto latest = Latest.find(*name);
+  return latest == Latest.end() ? nullptr : &Entries[latest->second].Lifetime;
 }
 
 auto UpstreamDirectory::successor(const UpstreamLifetime &u,
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -34,7 +34,7 @@
 #ifndef BORAGEBRIDGE_EDGE_UPSTREAM_DIRECTORY_H
 #define BORAGEBRIDGE_EDGE_UPSTREAM_DIRECTORY_H
 
-#include "edge/records.h"
+#include "edge/upstream_tag_index.h"
 
 #include <deque>
 #include <optional>
@@ -44,10 +44,6 @@
 
 namespace boragebridge {
 
-/// Index of an upstream's lifetime in this process; below MaxUpstreams. An
-/// index is reused after its upstream has been removed from the directory.
-using UpstreamIndex = std::uint32_t;
-
 /// One lifetime of an upstream, from its start to its end, and its state in the
 /// directory.
 struct UpstreamLifetime {
@@ -249,8 +245,6 @@
   /// Adds \p u to the lifetimes of its address, or removes it from them.
   auto addToAddress(const UpstreamLifetime &u, TimePoint now) -> void;
   auto removeFromAddress(const UpstreamLifetime &u, TimePoint now) -> void;
-  /// Removes \p u from the lifetimes of its name part.
-  auto removeFromNamePart(const UpstreamLifetime &u) -> void;
   /// The lifetime at \p i has ended, as \p next has its name.
   auto endLifetime(UpstreamIndex i, const UpstreamRecord &next, TimePoint now)
       -> void;
@@ -275,7 +269,6 @@
   /// Rebuilds ByService after a lifetime was added, ended, superseded or moved
   /// to another service.
   auto rebuild() -> void;
-  auto claimTag(const UpstreamLifetime &u) -> void;
   /// Builds Routes from the configuration.
   auto indexRoutes() -> void;
   /// Remembers that the route at \p address was removed, and forgets the oldest
@@ -292,9 +285,7 @@
   std::unordered_map<std::string, UpstreamIndex> Latest;
   /// All lifetimes of an address, including those that are gone.
   std::unordered_map<Endpoint, std::vector<UpstreamIndex>> ByAddress;
-  std::unordered_map<std::uint32_t, UpstreamIndex> ByTag;
-  /// All lifetimes by the name parts of their tags.
-  std::unordered_map<std::uint32_t, std::vector<UpstreamIndex>> ByNamePart;
+  UpstreamTagIndex Tags;
   std::unordered_map<std::uint64_t, std::vector<const UpstreamLifetime *>>
       ByService;
   bool ByServiceIsStale = false;
--- a/test/edge/edge_views_fixture.h
+++ b/test/edge/edge_views_fixture.h
@@ -58,6 +58,14 @@
   EdgeViews Views{Time,   Random,    Log,   Platform,
                   Format, Directory, Quota, {.Self = Self}};
 
+  /// A member that ranks above this instance, and becomes its parent.
+  auto strongerMember(const std::string &name = "b") const -> MemberRecord {
+    auto m = Self;
+    m.Name = name;
+    m.Capacity = 500;
+    m.Address.Address += static_cast<std::uint32_t>(name.front() - 'a');
+    return m;
+  }
   auto advance(Duration d) -> void {
     Time.advance(d);
     Views.tick(Time.now());
--- a/test/edge/edge_views_parents_test.cpp
+++ b/test/edge/edge_views_parents_test.cpp
@@ -48,10 +48,7 @@
     Views.tick(Time.now());
   }
   auto regainParent() -> void {
-    auto parent = Self;
-    parent.Name = "b";
-    parent.Capacity = 500;
-    parent.Address.Address += 1;
+    const auto parent = strongerMember();
     Store.answer(
         "instances/",
         ObjectList{{{{"instances/b", formatMember(parent), 8}, false}}, 9});
@@ -109,13 +106,8 @@
 BOOST_AUTO_TEST_CASE(ReaderKeepsNoMemberThatItsParentNeverHad) {
   startAtStore();
   regainParent();
-  auto parent = Self;
-  parent.Name = "b";
-  parent.Capacity = 500;
-  parent.Address.Address += 1;
-  auto gone = parent;
-  gone.Name = "c";
-  gone.Address.Address += 1;
+  const auto parent = strongerMember();
+  const auto gone = strongerMember("c");
   Parent.replace("instances/",
                  ObjectList{{{{"instances/b", formatMember(parent), 8}, false},
                              {{"instances/c", formatMember(gone), 9}, false}},
--- a/test/edge/edge_views_test.cpp
+++ b/test/edge/edge_views_test.cpp
@@ -99,10 +99,7 @@
 
 BOOST_AUTO_TEST_CASE(ReadsFromHigherCapacityInstance) {
   start();
-  auto parent = Self;
-  parent.Name = "b";
-  parent.Capacity = 500;
-  parent.Address.Address += 1;
+  const auto parent = strongerMember();
   Store.answer(
       "instances/",
       ObjectList{{{{"instances/b", formatMember(parent), 8}, false}}, 9});
@@ -222,10 +219,7 @@
                      members = std::move(done);
                    }});
   views.tick(Time.now());
-  auto parent = Self;
-  parent.Name = "b";
-  parent.Capacity = 500;
-  parent.Address.Address += 1;
+  const auto parent = strongerMember();
   members(ObjectList{{{{"instances/a", formatMember(Self), 8}, false},
                       {{"instances/b", formatMember(parent), 8}, false}},
                      9});
@@ -373,10 +367,7 @@
       ObjectList{{{{"config/main", SmallConfiguration, 3}, false}}, 9});
   for (const auto *it : {"servers/", "evacuations/"})
     Store.answer(it, ObjectList{{}, 9});
-  auto parent = Self;
-  parent.Name = "b";
-  parent.Capacity = 500;
-  parent.Address.Address += 1;
+  const auto parent = strongerMember();
   Store.answer(
       "instances/",
       ObjectList{{{{"instances/b", formatMember(parent), 8}, false}}, 9});
