--- a/src/edge/upstream_directory.cpp
+++ b/src/edge/upstream_directory.cpp
@@ -72,7 +72,7 @@
   if (lacksStart(r))
     return removeUpstream(r.Name, now);
   if (!isNamed(r.Service))
-    return keepAside(r, now);
+    return keepUnnamed(r, now);
   Unnamed.erase(r.Name);
   auto *lifetime = findLifetime(r);
   if (lifetime == nullptr)
@@ -84,7 +84,7 @@
   update(*lifetime, r, now);
 }
 
-auto UpstreamDirectory::keepAside(const UpstreamRecord &r, TimePoint now)
+auto UpstreamDirectory::keepUnnamed(const UpstreamRecord &r, TimePoint now)
     -> void {
   removeUpstream(r.Name, now);
   if (Unnamed.size() < Options.MaxUpstreams)
--- a/src/edge/upstream_directory.h
+++ b/src/edge/upstream_directory.h
@@ -224,8 +224,9 @@
   };
 
   auto apply(const UpstreamRecord &r, TimePoint now) -> void;
-  /// Keeps \p r aside. It is no longer the record of an upstream of its name.
-  auto keepAside(const UpstreamRecord &r, TimePoint now) -> void;
+  /// Keeps \p r, whose service is not named, until a configuration names it. It
+  /// is not the record of an upstream of its name.
+  auto keepUnnamed(const UpstreamRecord &r, TimePoint now) -> void;
   /// Takes the records whose services the configuration names now, and settles
   /// the addresses of those that it names no longer.
   auto onServicesNamed(TimePoint now) -> void;
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -158,6 +158,7 @@
   /// The digest that the mirror told when the view differed, until a list has
   /// been read.
   std::optional<ViewDigest> WantedDigest;
+  /// When a list for this reason may be read again.
   TimePoint NextRelist;
   std::uint64_t Differences = 0;
   bool CallOpen = false;
