The model: an upstream that starts again keeps its address

Trace: an upstream that drained so that its address would be used again was started again by restart_upstreams meanwhile; the model gave its address to another upstream nevertheless, so two ran there. A fault of the model alone. Change: an address is not passed on if its upstream has started again there.

--- a/src/edge_model/edge_model_faults.cpp
+++ b/src/edge_model/edge_model_faults.cpp
@@ -192,7 +192,10 @@
     addUpstream(dc, r.Service, nextAddress(dc), speed, ColdTime);
     return;
   }
-  after(DrainTime + AddressReuseDelay, [this, r, dc, speed] {
+  after(DrainTime + AddressReuseDelay, [this, r, dc, speed, upstream] {
+    // An upstream that started again meanwhile keeps its address.
+    if (hasRestarted(upstream))
+      return;
     const auto other = r.Service == Bookings ? Uploads : Bookings;
     addUpstream(dc, other, r.Address, speed, ColdTime);
   });
--- a/test/edge_model/edge_model_test.cpp
+++ b/test/edge_model/edge_model_test.cpp
@@ -132,6 +132,17 @@
   }
 }
 
+// The model gave the address of a draining upstream to another one, although
+// the upstream had started again there.
+BOOST_AUTO_TEST_CASE(UpstreamThatStartsAgainKeepsItsAddress) {
+  constexpr Duration Length = seconds(25);
+  constexpr std::uint64_t Seed = 563149;
+  auto plan = drawFaults(Seed, 8, Length);
+  addRestores(plan, Seed, 1, Length);
+  addLaterFaults(plan, Seed, 2, Length);
+  expectNoViolations({.Seed = Seed}, plan, Length);
+}
+
 BOOST_AUTO_TEST_CASE(LaterKindsAmongOtherFaultsBreakNoRule) {
   constexpr Duration Length = seconds(20);
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
