--- a/test/edge/edge_views_parents_test.cpp
+++ b/test/edge/edge_views_parents_test.cpp
@@ -102,6 +102,21 @@
   BOOST_TEST(Directory.size() == 0U);
 }
 
+// Withdrawals: a data centre stayed withdrawn.
+BOOST_AUTO_TEST_CASE(ReaderKeepsNoWithdrawalThatItsParentNeverHad) {
+  const auto zone = idFromName<DataCentreId>("z");
+  Parent.replace("evacuations/", ObjectList{{}, 10});
+  startAtStore();
+  Store.answer("evacuations/",
+               ObjectList{{{{"evacuations/z", "{}", 12}, false}}, 12});
+  BOOST_TEST(Directory.isWithdrawn(zone));
+  Parent.replace("evacuations/", ObjectList{{}, 15});
+  regainParent();
+  answerFromParent("evacuations/");
+  answerFromParent("evacuations/");
+  BOOST_TEST(!Directory.isWithdrawn(zone));
+}
+
 // Members: an instance that has left stayed a possible parent.
 BOOST_AUTO_TEST_CASE(ReaderKeepsNoMemberThatItsParentNeverHad) {
   startAtStore();
