--- a/test/edge/upstream_unconfigured_test.cpp
+++ b/test/edge/upstream_unconfigured_test.cpp
@@ -104,13 +104,20 @@
 BOOST_AUTO_TEST_CASE(RemovedRecordIsNotFoundLater) {
   start({});
   Directory.putUpstream(unconfigured("i-3", 3), now());
-  Directory.putUpstream(unconfigured("i-4", 4), now());
   Directory.removeUpstream("i-3", now());
-  Directory.replaceUpstreams({}, now());
   configureBoth(2);
   BOOST_TEST(Directory.upstreamsOf(Other).empty());
 }
 
+BOOST_AUTO_TEST_CASE(RecordThatAListLacksIsNotFoundLater) {
+  start({});
+  Directory.putUpstream(unconfigured("i-3", 3), now());
+  Directory.putUpstream(unconfigured("i-4", 4), now());
+  Directory.replaceUpstreams({unconfigured("i-4", 4)}, now());
+  configureBoth(2);
+  BOOST_TEST(Directory.upstreamsOf(Other).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragebridge
--- a/test/store/mirror_api_test.cpp
+++ b/test/store/mirror_api_test.cpp
@@ -70,6 +70,20 @@
   BOOST_TEST(Mirror.changes("p/", l->CurrentVersion).ok());
 }
 
+// Readers compare the digest with that of their own view (review/11).
+BOOST_AUTO_TEST_CASE(AnswerToAWatchHasTheDigestOfTheView) {
+  Mirror.replace("p/", {{{{"p/a", "{}", 5}, false}}, 7});
+  Mirror.apply("p/", {{{{"p/b", "{}", 8}, false}}, 8});
+  for (const auto *after : {"7", "8"}) {
+    get(std::string("/v1/watch?prefix=p%2F&wait_ms=0&after=") + after, false);
+    const auto l = parseObjectList(
+        Response.SharedBody != nullptr ? *Response.SharedBody : Response.Body);
+    BOOST_TEST_REQUIRE(l.ok());
+    BOOST_TEST_REQUIRE(l->Digest.has_value());
+    BOOST_TEST(*l->Digest == Mirror.digest("p/"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(UnconfirmedViewIsRefusedAlsoWhenCompressed) {
   get("/v1/objects?prefix=p%2F", true);
   BOOST_TEST(Response.Status == 412U);
