The soak's bursts compare requests that no fault fell upon

Cause, by counting each loss with its reason: the burst ran at the end, and requests in flight counted as lost; so did openings that the soak itself answers late (since; the caller's second packet is answered with a reset, so that it tries another upstream) and packets to instances that are killed or paused. None of these depends on the priority. What is left of the urgent losses was refused by upstreams, and of 75 to 190 urgent requests a run that share is a matter of chance.

Change: a request counts when it has ended, and not at all, answered or lost, if a fault fell upon it. Three times as many urgent callers, and as many more requests before a run is judged. The bound of half and the losses of the others from which on it holds stay.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -27,10 +27,11 @@
 from world import COLD_LIMIT, DRAIN_S, RECOVERY_S, WITHDRAW_S, ip_to_int
 
 BURST_CALLERS = 60
-URGENT_CALLERS = 4
-MIN_BURST_REQUESTS = 50
+URGENT_CALLERS = 12
+MIN_BURST_REQUESTS = 150
 MIN_LOST_SHARE = 0.1
-MUTATIONS = ("none", "reset", "drain", "stale", "cold")
+MIN_AWAY_SHARE = 0.02
+MUTATIONS = ("none", "reset", "drain", "stale", "cold", "starve")
 SERVICES = {"booking": (ip_to_int("198.18.0.1"), 443),
             "uploads": (ip_to_int("198.18.0.2"), 8443)}
 # A second, less urgent route to the service "booking".
@@ -89,6 +90,11 @@
         self.affected_until = max(self.affected_until,
                                   time.monotonic() + duration_s)
 
+    def is_running(self):
+        """Whether it is neither paused nor stopped."""
+        return self.process.returncode is None and (
+            time.monotonic() >= self.affected_until)
+
     def is_unaffected(self):
         return time.monotonic() - self.affected_until > RECOVERY_S
 
@@ -241,7 +247,8 @@
         self.version += self.random.randint(1, 5)
         all_routes = [(name, name, address, URGENT)
                       for name, address in SERVICES.items()]
-        all_routes.append(("prices", "booking", PRICES, LESS_URGENT))
+        all_routes.append(("prices", "booking", PRICES, URGENT if
+                           self.mutation == "starve" else LESS_URGENT))
         routes = [{"name": name, "host": f"198.18.0.{address & 255}",
                    "pathPrefix": f"/{port}/", "kind": "idempotent",
                    "service": service, "timeoutMs": 2000,
@@ -294,8 +301,14 @@
             # service may have no upstream for any route.
             label = (f"burst_{name}_" if self.is_service_usable()
                      else f"withdrawn_{name}_")
-            self.count(label + "asked")
-            await caller.run_flow(route, 1, 0, label)
+            answered, flow = await caller.run_flow(route, 1, 0, label)
+            # A fault falls upon any route alike, whatever load there is.
+            if not flow.is_hurt:
+                self.count(label + "ended")
+                if not answered:
+                    self.count(label + "lost")
+                if flow.reset and not flow.is_repeated:
+                    self.count(label + "away")
             await asyncio.sleep(0.02)
 
     def is_service_usable(self):
@@ -303,18 +316,22 @@
             time.monotonic() - self.withdrawal_ended > RECOVERY_S)
 
     def check_bursts(self):
-        """Urgent requests are lost at most half as often as the others."""
-        asked, served = (
+        """Urgent requests are lost at most half as often as the others, and
+        turned away at once at most half as often."""
+        ended, lost, away = (
             {name: self.counts[f"burst_{name}_{what}"]
              for name in ("urgent", "prices")}
-            for what in ("asked", "answered"))
-        if min(asked.values()) < MIN_BURST_REQUESTS:
+            for what in ("ended", "lost", "away"))
+        if min(ended.values()) < MIN_BURST_REQUESTS:
             return
-        lost = {name: 1 - served[name] / asked[name] for name in asked}
-        # Without losses among the others there was nothing to protect from.
-        if lost["prices"] > MIN_LOST_SHARE and (
-                lost["urgent"] > lost["prices"] / 2):
-            self.invariants.report("urgent_starved", str(lost))
+        for what, counts, least in (("lost", lost, MIN_LOST_SHARE),
+                                    ("away", away, MIN_AWAY_SHARE)):
+            share = {name: counts[name] / ended[name] for name in ended}
+            # Without losses among the others there was nothing to protect
+            # from.
+            if share["prices"] > least and (
+                    share["urgent"] > share["prices"] / 2):
+                self.invariants.report("urgent_starved", f"{what} {share}")
 
     async def watch_readiness(self):
         while True:
@@ -546,7 +563,7 @@
 
     async def run(self):
         await self.start()
-        if self.mutation == "none":
+        if self.mutation in ("none", "starve"):
             self.spawn(self.inject())
             self.spawn(self.inject())
             self.spawn(self.cut_watches_repeatedly())
--- a/soak/world.py
+++ b/soak/world.py
@@ -118,12 +118,13 @@
         self.unresponsive_since = time.monotonic()
 
     def datagram_received(self, datagram, source):
-        if self.unresponsive_since:
-            return
         (wire_id,) = wire.WIRE_ID.unpack_from(datagram)
         if wire_id not in (0, self.wire_id):
             return
         packet, is_intact = wire.decode(datagram[wire.WIRE_ID.size:])
+        if self.unresponsive_since:
+            self.mark_hurt(packet)
+            return
         if not is_intact:
             self.world.invariants.report("altered",
                                          f"{self.name} got {packet}")
@@ -139,9 +140,17 @@
             self.world.check_opening(self, packet, via)
         flow = self.flows[key]
         is_late = packet.ack == 0 and random.random() < LATE_SHARE
+        if is_late:
+            self.mark_hurt(packet)
         self.answer_opening(packet, flow, ((LATE_S,) if is_late else ()) +
                             ANSWER_AGAIN_AFTER_S, is_silent=is_late)
 
+    def mark_hurt(self, packet):
+        caller = self.world.caller_of(packet)
+        flow = caller and caller.flows.get(packet.sport)
+        if flow:
+            flow.is_hurt = True
+
     def answer_opening(self, packet, flow, pauses, is_silent=False):
         """Answers now, unless is_silent, and after each of the pauses, until the
         flow is open."""
@@ -227,6 +236,11 @@
         self.ack = 0
         self.tag = 0
         self.is_open = False
+        # A fault of the soak fell upon it: an instance that was paused or not
+        # running, or an upstream that did not answer or did so late.
+        self.is_hurt = False
+        # Whether a packet of it was sent again.
+        self.is_repeated = False
 
     def may_have(self, packet):
         """Whether a packet to the caller belongs to this flow, and not to an
@@ -307,6 +321,8 @@
                              seq, ack & 0xFFFFFFFF, flow.tag, data)
         instance = self.world.route(packet)
         if instance:
+            it = self.world.instance_at(instance)
+            flow.is_hurt = flow.is_hurt or not it.is_running()
             self.transport.sendto(packet.encode(), (instance, self.world.port))
 
     async def exchange(self, send, flow):
@@ -315,6 +331,7 @@
         started = time.monotonic()
         for transmission, until in enumerate((*RETRANSMIT_AT_S,
                                               EXCHANGE_TIMEOUT_S)):
+            flow.is_repeated = flow.is_repeated or transmission > 0
             send(transmission)
             left = until - (time.monotonic() - started)
             try:
@@ -328,7 +345,7 @@
         """Opens a flow, sends requests on it, and counts the results under
         names that begin with label.
 
-        Returns how many of the requests were answered."""
+        Returns how many of the requests were answered, and the flow."""
         answered = 0
         sport = self.take_port()
         flow = self.flows[sport] = Flow(service)
@@ -351,4 +368,4 @@
         self.send(sport, flow, wire.FIN | wire.ACK, flow.next_seq, flow.ack)
         await asyncio.sleep(0.05)
         del self.flows[sport]
-        return answered
+        return answered, flow
