The soak counts openings that no data centre can serve apart

Trace: north was withdrawn for 4.6 s, south 0.53 s after its return, while the upstreams of north still counted as cold. All 415 openings turned away within these seconds were refused at once with no_upstream, which the stated target asks for, and asked for again every 50 ms, so that 3 seconds were half of all openings.

Change: openings that begin while each data centre is withdrawn, or has returned less than RECOVERY_S ago, are counted under names of their own, as the bursts do since. The bound stays for all others.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -130,6 +130,8 @@
         self.upstreams = []
         self.withdrawn = {}
         self.withdrawal_ended = 0.0
+        # When the withdrawal of a data centre ended.
+        self.returned = {}
         self.counts = collections.Counter()
         self.next_id = 0x1000
         self.next_host = 0
@@ -276,8 +278,11 @@
         while True:
             service = self.random.choice(list(SERVICES.values()))
             is_long = self.random.random() < 0.3
+            # What no data centre can serve is refused at once, and asked for
+            # again soon.
+            label = "" if self.has_usable_zone() else "no_zone_"
             await caller.run_flow(service, 20 if is_long else 1,
-                                  0.1 if is_long else 0.01)
+                                  0.1 if is_long else 0.01, label)
             await asyncio.sleep(0.05)
 
     async def burst_repeatedly(self):
@@ -311,6 +316,14 @@
                     self.count(label + "away")
             await asyncio.sleep(0.02)
 
+    def has_usable_zone(self):
+        """Whether a data centre is neither withdrawn nor cold after its
+        return."""
+        now = time.monotonic()
+        return any(zone not in self.withdrawn and
+                   now - self.returned.get(zone, float("-inf")) > RECOVERY_S
+                   for zone in ZONES)
+
     def is_service_usable(self):
         return not self.withdrawn and (
             time.monotonic() - self.withdrawal_ended > RECOVERY_S)
@@ -508,7 +521,7 @@
         self.withdrawn[zone] = time.monotonic()
         await asyncio.sleep(self.random.uniform(3, 8))
         del self.withdrawn[zone]
-        self.withdrawal_ended = time.monotonic()
+        self.withdrawal_ended = self.returned[zone] = time.monotonic()
         self.store.delete("evacuations", zone)
 
     FAULTS = (kill_instance, roll_instance, pause_instance, hurt_store,
