The soak marks the flow that a fault falls upon, not a later one of its port

A packet of an earlier flow of the port, at an upstream that does not respond, marked the later flow as affected, so that the burst did not count its request. Found by reading.

Change: Caller.flow_of() finds the flow of a packet by its numbers, for this mark and for record_upstream(), which had the same check. The mark has the name that instances and the store have for the same state, affected.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -308,7 +308,7 @@
                      else f"withdrawn_{name}_")
             answered, flow = await caller.run_flow(route, 1, 0, label)
             # A fault falls upon any route alike, whatever load there is.
-            if not flow.is_hurt:
+            if not flow.is_affected:
                 self.count(label + "ended")
                 if not answered:
                     self.count(label + "lost")
--- a/soak/world.py
+++ b/soak/world.py
@@ -123,7 +123,7 @@
             return
         packet, is_intact = wire.decode(datagram[wire.WIRE_ID.size:])
         if self.unresponsive_since:
-            self.mark_hurt(packet)
+            self.mark_affected(packet)
             return
         if not is_intact:
             self.world.invariants.report("altered",
@@ -141,15 +141,16 @@
         flow = self.flows[key]
         is_late = packet.ack == 0 and random.random() < LATE_SHARE
         if is_late:
-            self.mark_hurt(packet)
+            self.mark_affected(packet)
         self.answer_opening(packet, flow, ((LATE_S,) if is_late else ()) +
                             ANSWER_AGAIN_AFTER_S, is_silent=is_late)
 
-    def mark_hurt(self, packet):
+    def mark_affected(self, packet):
+        """A fault of this upstream falls upon the flow of a packet."""
         caller = self.world.caller_of(packet)
-        flow = caller and caller.flows.get(packet.sport)
+        flow = caller and caller.flow_of(packet)
         if flow:
-            flow.is_hurt = True
+            flow.is_affected = True
 
     def answer_opening(self, packet, flow, pauses, is_silent=False):
         """Answers now, unless is_silent, and after each of the pauses, until the
@@ -236,10 +237,10 @@
         self.ack = 0
         self.tag = 0
         self.is_open = False
-        # A fault of the soak fell upon it: an instance that was paused or not
+        # A fault of the soak fell upon the flow: an instance that was paused or not
         # running, or an upstream that did not answer or did so late.
-        self.is_hurt = False
-        # Whether a packet of it was sent again.
+        self.is_affected = False
+        # Whether a packet of the flow was sent again.
         self.is_repeated = False
 
     def may_have(self, packet):
@@ -276,18 +277,20 @@
         return next(port for port in itertools.count(FIRST_PORT + PORTS)
                     if port not in self.flows)
 
+    def flow_of(self, packet):
+        """The flow of a packet that this caller sent, or None."""
+        flow = self.flows.get(packet.sport)
+        # An instance that was paused may send packets of an earlier flow.
+        return flow if flow and is_near(packet.seq, flow.first_seq) else None
+
     def record_upstream(self, packet, upstream):
         """The upstream has the flow of a packet that this caller sent."""
-        sport = packet.sport
-        flow = self.flows.get(sport)
-        # An instance that was paused may send packets of an earlier flow.
-        if flow and not is_near(packet.seq, flow.first_seq):
-            return
+        flow = self.flow_of(packet)
         if flow and flow.upstream is None:
             flow.upstream = upstream
         elif flow and flow.upstream is not upstream:
             self.world.invariants.report("turned_aside",
-                                         f"flow {self.address}:{sport}")
+                                         f"flow {self.address}:{packet.sport}")
 
     def datagram_received(self, datagram, source):
         packet, _ = wire.decode(datagram)
@@ -322,7 +325,7 @@
         instance = self.world.route(packet)
         if instance:
             it = self.world.instance_at(instance)
-            flow.is_hurt = flow.is_hurt or not it.is_running()
+            flow.is_affected = flow.is_affected or not it.is_running()
             self.transport.sendto(packet.encode(), (instance, self.world.port))
 
     async def exchange(self, send, flow):
