--- a/soak/world.py
+++ b/soak/world.py
@@ -237,8 +237,8 @@
         self.ack = 0
         self.tag = 0
         self.is_open = False
-        # A fault of the soak fell upon the flow: an instance that was paused or not
-        # running, or an upstream that did not answer or did so late.
+        # A fault of the soak fell upon the flow: an instance that was paused or
+        # not running, or an upstream that did not answer or did so late.
         self.is_affected = False
         # Whether a packet of the flow was sent again.
         self.is_repeated = False
